--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -0,0 +1,151 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.internal.direct.EngineControl.Reply;
+import dev.foxtailshed.kernel.direct.DecodeCapacity;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import dev.foxtailshed.kernel.direct.WaitingLine;
+import dev.foxtailshed.kernel.direct.WaitingLine.Waiter;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Reserves decode capacity of one service for the requests of this entry, one line for all.
+ *
+ * <p>Only the first in the line asks a server, so waiting requests do not multiply calls. The line
+ * moves when a request of this entry ends, when one arrives, and on a short tick for capacity that
+ * other entries free. Runs on the entry's loop.
+ */
+final class DecodeReservations {
+
+    /** Reservations asked for at once: enough to fill an idle pool, few enough to stay in order. */
+    private static final int MAXIMUM_ASKING = 4;
+
+    private final DirectContext context;
+    private final EngineControl control;
+    private final String service;
+    private final DecodeCapacity capacity;
+    private final WaitingLine<ModelFlow> line = new WaitingLine<>();
+    private int asking;
+
+    DecodeReservations(
+            DirectContext context, EngineControl control, String service, DecodeCapacity capacity) {
+        this.context = context;
+        this.control = control;
+        this.service = service;
+        this.capacity = capacity;
+    }
+
+    /**
+     * Capacity that a request holds at a decode server.
+     *
+     * @param server the server
+     * @param id the reservation's id
+     * @param tokens the tokens reserved
+     */
+    record Reservation(DirectServer server, String id, long tokens) {}
+
+    /** Lets a request wait; empty if it would wait in vain. */
+    Optional<Waiter<ModelFlow>> join(
+            ModelFlow flow, int priority, boolean late, long giveUpMillis) {
+        long nowMillis = context.timer().nowMillis();
+        Optional<Waiter<ModelFlow>> waiter =
+                line.join(flow, priority, late, giveUpMillis, nowMillis);
+        pump();
+        return waiter;
+    }
+
+    void leave(Waiter<ModelFlow> waiter) {
+        line.leave(waiter);
+    }
+
+    /** Gives an unused reservation back. */
+    void giveBack(Reservation reservation) {
+        capacity.released(reservation.server(), reservation.tokens());
+        control.send(
+                reservation.server(),
+                context.platform().servers().releaseReservation(reservation.id()),
+                reply -> pump());
+    }
+
+    /** Notes that the request which used a reservation has ended. */
+    void ended(Reservation reservation) {
+        capacity.released(reservation.server(), reservation.tokens());
+        pump();
+    }
+
+    /** Moves the line and refuses those whose time is up. */
+    void tick() {
+        List<ModelFlow> expired = line.expire(context.timer().nowMillis());
+        expired.forEach(ModelFlow::waitedInVain);
+        pump();
+    }
+
+    long drainMillis() {
+        return line.drainMillis();
+    }
+
+    int waiting() {
+        return line.size();
+    }
+
+    void retain(List<DirectServer> usable) {
+        capacity.retain(usable);
+    }
+
+    private void pump() {
+        while (asking < MAXIMUM_ASKING && line.first().isPresent()) {
+            List<DirectServer> servers = context.view().servers().of(service, Stage.DECODE);
+            Optional<DirectServer> server =
+                    capacity.choose(
+                            servers, Set.of(), context.health(), context.timer().nowMillis());
+            if (server.isEmpty()) {
+                return;
+            }
+            Waiter<ModelFlow> waiter = line.first().get();
+            line.leave(waiter);
+            ask(waiter, server.get());
+        }
+    }
+
+    private void ask(Waiter<ModelFlow> waiter, DirectServer server) {
+        ModelFlow flow = waiter.item();
+        long tokens = flow.tokensToReserve();
+        asking++;
+        capacity.asking(server);
+        control.send(
+                server,
+                context.platform().servers().reserve(tokens, flow.reservationMillis()),
+                reply -> answered(waiter, server, tokens, reply));
+    }
+
+    private void answered(Waiter<ModelFlow> waiter, DirectServer server, long tokens, Reply reply) {
+        asking--;
+        ModelFlow flow = waiter.item();
+        long nowMillis = context.timer().nowMillis();
+        Optional<String> id =
+                reply.isSuccess()
+                        ? context.platform().servers().reservation(reply.body())
+                        : Optional.empty();
+        if (id.isPresent()) {
+            capacity.reserved(server, tokens);
+            Reservation reservation = new Reservation(server, id.get(), tokens);
+            if (flow.isFinished()) {
+                giveBack(reservation);
+            } else {
+                line.granted(nowMillis);
+                flow.reserved(reservation);
+            }
+        } else {
+            capacity.refused(server, nowMillis);
+            if (!reply.isAnswer()) {
+                context.health().of(server).unanswered(nowMillis);
+            }
+            if (!flow.isFinished()) {
+                line.rejoin(waiter);
+            }
+        }
+        pump();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -0,0 +1,237 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.hosting.HostingPlatform;
+import dev.foxtailshed.daemon.hosting.SharedStore;
+import dev.foxtailshed.daemon.hosting.SharedStore.Change;
+import dev.foxtailshed.daemon.hosting.StoreCollection;
+import dev.foxtailshed.daemon.hosting.StoreEntry;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.kernel.TimerService;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.RouteTable;
+import dev.foxtailshed.kernel.direct.ServerDirectory;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.DoubleSupplier;
+
+/**
+ * What this entry knows of the deployment: the routes in force and the servers.
+ *
+ * <p>Changes arrive on the executor; readers on any thread take immutable snapshots. The version of
+ * the routes never goes back within a process.
+ */
+final class DeploymentView {
+
+    /** How often lapsed entries are looked at after the store's return. */
+    private static final long EXPIRY_PERIOD_MILLIS = 100;
+
+    private final HostingPlatform platform;
+    private final TimerService timer;
+    private final Executor executor;
+    private final ServerDirectory directory = new ServerDirectory();
+    private final AtomicReference<RouteTable> routes = new AtomicReference<>();
+    private final AtomicReference<ServerCatalog> servers =
+            new AtomicReference<>(ServerCatalog.EMPTY);
+    private final List<Runnable> subscribers = new ArrayList<>();
+    private final StoreFollower routeFollower;
+    private final StoreFollower serverFollower;
+    private volatile boolean serversRead;
+
+    DeploymentView(
+            HostingPlatform platform,
+            SharedStore store,
+            TimerService timer,
+            Executor executor,
+            DoubleSupplier random) {
+        this.platform = platform;
+        this.timer = timer;
+        this.executor = executor;
+        routeFollower =
+                new StoreFollower(
+                        store,
+                        StoreCollection.ROUTES,
+                        new RouteListener(),
+                        timer,
+                        executor,
+                        random);
+        serverFollower =
+                new StoreFollower(
+                        store,
+                        StoreCollection.SERVERS,
+                        new ServerListener(),
+                        timer,
+                        executor,
+                        random);
+    }
+
+    void start() {
+        routeFollower.start();
+        serverFollower.start();
+        timer.every(EXPIRY_PERIOD_MILLIS, () -> executor.execute(this::expireMissing));
+    }
+
+    void close() {
+        routeFollower.close();
+        serverFollower.close();
+    }
+
+    /** Adds what runs on the executor after each change of routes or servers. */
+    void subscribe(Runnable subscriber) {
+        subscribers.add(subscriber);
+    }
+
+    Optional<RouteTable> routes() {
+        return Optional.ofNullable(routes.get());
+    }
+
+    ServerCatalog servers() {
+        return servers.get();
+    }
+
+    boolean isComplete() {
+        return routes.get() != null && serversRead;
+    }
+
+    private void takeRoutes(StoreEntry entry) {
+        Either<String, RouteTable> read = platform.readRoutes(entry);
+        if (read.isLeft()) {
+            EventLog.log(
+                    EventCode.ROUTES_UNREADABLE,
+                    Field.of("entry", entry.name()),
+                    Field.of("revision", entry.revision()),
+                    Field.of("cause", read.getLeft()));
+            return;
+        }
+        RouteTable before = routes.get();
+        if (before != null && before.version() >= read.get().version()) {
+            return;
+        }
+        routes.set(read.get());
+        EventLog.log(
+                EventCode.ROUTES_APPLIED,
+                Field.of("version", read.get().version()),
+                Field.of("revision", entry.revision()),
+                Field.of("routes", read.get().routes().size()));
+        subscribers.forEach(Runnable::run);
+    }
+
+    private Optional<DirectServer> readServer(StoreEntry entry) {
+        Either<String, DirectServer> read = platform.readServer(entry);
+        if (read.isLeft()) {
+            EventLog.log(
+                    EventCode.STORE_ENTRY_UNREADABLE,
+                    Field.of("collection", StoreCollection.SERVERS),
+                    Field.of("entry", entry.name()),
+                    Field.of("cause", read.getLeft()));
+        }
+        return read.toJavaOptional();
+    }
+
+    private void publishServers(long revision) {
+        List<DirectServer> before = servers.get().all();
+        servers.set(ServerCatalog.of(revision, timer.nowMillis(), directory.usable()));
+        List<DirectServer> after = servers.get().all();
+        if (!after.equals(before)) {
+            logChanges(before, after, revision);
+            subscribers.forEach(Runnable::run);
+        }
+    }
+
+    private static void logChanges(
+            List<DirectServer> before, List<DirectServer> after, long revision) {
+        for (DirectServer server : after) {
+            if (!before.contains(server)) {
+                logServer(EventCode.SERVER_USABLE, server, revision);
+            }
+        }
+        for (DirectServer server : before) {
+            if (after.stream().noneMatch(s -> s.incarnation().equals(server.incarnation()))) {
+                logServer(EventCode.SERVER_LEFT, server, revision);
+            }
+        }
+    }
+
+    private static void logServer(EventCode code, DirectServer server, long revision) {
+        EventLog.log(
+                code,
+                Field.of("server", server.id()),
+                Field.of("service", server.service()),
+                Field.of("address", server.address()),
+                Field.of("stage", server.stage().map(Enum::name).orElse("none")),
+                Field.of("revision", revision));
+    }
+
+    private void expireMissing() {
+        if (!directory.expireMissing(timer.nowMillis()).isEmpty()) {
+            publishServers(servers.get().revision());
+        }
+    }
+
+    /** Follows the routes. */
+    private final class RouteListener implements StoreFollower.Listener {
+        @Override
+        public void onList(List<StoreEntry> entries, long revision) {
+            entries.forEach(DeploymentView.this::takeRoutes);
+        }
+
+        @Override
+        public void onChanges(List<Change> changes, long revision) {
+            changes.stream()
+                    .filter(change -> !change.removed())
+                    .forEach(change -> takeRoutes(change.entry()));
+        }
+
+        @Override
+        public void onLost() {
+            // The routes in force stay; the follower logs the loss.
+        }
+
+        @Override
+        public void onReturned() {
+            // The next watch or list brings what changed meanwhile.
+        }
+    }
+
+    /** Follows the servers. */
+    private final class ServerListener implements StoreFollower.Listener {
+        @Override
+        public void onList(List<StoreEntry> entries, long revision) {
+            List<DirectServer> read =
+                    entries.stream()
+                            .map(DeploymentView.this::readServer)
+                            .flatMap(Optional::stream)
+                            .toList();
+            directory.replaceAll(read, timer.nowMillis());
+            serversRead = true;
+            publishServers(revision);
+        }
+
+        @Override
+        public void onChanges(List<Change> changes, long revision) {
+            for (Change change : changes) {
+                Optional<DirectServer> server =
+                        change.removed() ? Optional.empty() : readServer(change.entry());
+                server.ifPresentOrElse(
+                        directory::update,
+                        () -> directory.removed(change.entry().name(), timer.nowMillis()));
+            }
+            publishServers(revision);
+        }
+
+        @Override
+        public void onLost() {
+            directory.storeLost();
+        }
+
+        @Override
+        public void onReturned() {
+            directory.storeReturned(timer.nowMillis());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -0,0 +1,182 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.foxtailshed.daemon.hosting.HostingPlatform;
+import dev.foxtailshed.daemon.hosting.SharedStore;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.http.BackendHttp;
+import dev.foxtailshed.daemon.internal.http.EndpointChain;
+import dev.foxtailshed.daemon.internal.http.HttpConnectors;
+import dev.foxtailshed.daemon.internal.http.InFlight;
+import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
+import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
+import dev.foxtailshed.daemon.internal.role.RunningRole;
+import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
+import dev.foxtailshed.daemon.internal.timer.ExecutorTimerService;
+import dev.foxtailshed.kernel.direct.HealthBoard;
+import dev.foxtailshed.kernel.direct.RepeatBudget;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.DoubleSupplier;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** A running direct entry. */
+final class DirectEntry implements RunningRole {
+
+    private static final int MAXIMUM_THREADS = 16;
+    private static final int MINIMUM_THREADS = 4;
+
+    /** How long a call to the store may take; it answers in milliseconds when it is well. */
+    private static final long STORE_TIMEOUT_MILLIS = 700;
+
+    /** How long a connection attempt may take; a lost packet is sent again after a second. */
+    private static final long CONNECT_TIMEOUT_MILLIS = 500;
+
+    /** Idle connections to servers are closed before servers usually close them. */
+    private static final long SERVER_IDLE_MILLIS = 4_000;
+
+    /** Largest head of a request, above what configurations allow to callers. */
+    private static final int MAXIMUM_HEAD_BYTES = 64 << 10;
+
+    /** Two checks of the balancer, a second apart, and their way: then it sends nothing new. */
+    private static final long BALANCER_NOTICE_MILLIS = 2_600;
+
+    /** Part of the grace that is kept for the end of the process. */
+    private static final long EXIT_MARGIN_MILLIS = 700;
+
+    /** Share of the reserve for repeats that this entry uses, for deployments of some entries. */
+    private static final double RESERVE_SHARE = 0.2;
+
+    private final DirectSettings settings;
+    private final QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
+    private final ExecutorTimerService timer = new ExecutorTimerService();
+    private final HttpClient httpClient = BackendHttp.newClient();
+    private final InFlight inFlight = new InFlight();
+    private final MetricRegistry registry = new MetricRegistry();
+    private final Server callers = new Server(threads);
+    private final Server control = new Server(threads);
+    private final ServerConnector connector;
+    private final DeploymentView view;
+    private final DirectFlows flows;
+    private volatile boolean leaving;
+
+    DirectEntry(DirectSettings settings, HostingPlatform platform, Path file) {
+        this.settings = settings;
+        threads.setName("direct");
+        DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
+        SharedStore store =
+                platform.openStore(httpClient, settings.storeAddress(), STORE_TIMEOUT_MILLIS);
+        SerialExecutor loop = new SerialExecutor(threads);
+        view = new DeploymentView(platform, store, timer, loop, random);
+        DirectContext context =
+                new DirectContext(
+                        platform,
+                        view,
+                        loop,
+                        timer,
+                        httpClient,
+                        new HealthBoard(),
+                        new RepeatBudgets(name -> newBudget()),
+                        new DirectJournal(registry, timer, view::servers),
+                        random);
+        flows = new DirectFlows(context, settings.zone());
+        connector =
+                HttpConnectors.addForwarding(callers, settings.callerAddress(), MAXIMUM_HEAD_BYTES);
+        HttpConnectors.add(control, settings.readinessAddress(), Optional.empty());
+        if (!settings.controlAddress().equals(settings.readinessAddress())) {
+            HttpConnectors.add(control, settings.controlAddress(), Optional.empty());
+        }
+        callers.setHandler(
+                new EndpointChain(
+                        List.of(new DirectEndpoint(context, flows, inFlight)), () -> leaving));
+        control.setHandler(
+                new EndpointChain(
+                        List.of(
+                                new ReadinessEndpoint(this::isReady),
+                                new MetricsEndpoint(registry)),
+                        () -> leaving));
+        callers.setErrorHandler(new JsonErrorHandler());
+        control.setErrorHandler(new JsonErrorHandler());
+    }
+
+    void start() throws IOException {
+        try {
+            threads.start();
+            httpClient.setExecutor(threads);
+            httpClient.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+            httpClient.setIdleTimeout(SERVER_IDLE_MILLIS);
+            httpClient.start();
+            BackendHttp.passContentOn(httpClient);
+            view.start();
+            flows.start();
+            control.start();
+            callers.start();
+        } catch (IOException e) {
+            throw e;
+        } catch (Exception e) {
+            // Jetty's life cycle declares Exception.
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public InetSocketAddress address() {
+        return new InetSocketAddress(connector.getHost(), connector.getLocalPort());
+    }
+
+    @Override
+    public void drainAndClose() throws InterruptedException {
+        long endNanos =
+                System.nanoTime()
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                settings.graceMillis() - EXIT_MARGIN_MILLIS);
+        leaving = true;
+        // The balancer goes on sending until it has seen "not ready" twice.
+        Thread.sleep(Math.min(BALANCER_NOTICE_MILLIS, settings.graceMillis() / 2));
+        try {
+            inFlight.idle().get(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException e) {
+            EventLog.log(EventCode.DRAIN_EXPIRED, Field.of("requestsInFlight", inFlight.count()));
+        } catch (ExecutionException e) {
+            EventLog.unexpected("drain", e);
+        }
+        view.close();
+        timer.close();
+        stop();
+    }
+
+    private boolean isReady() {
+        return !leaving && view.isComplete();
+    }
+
+    private RepeatBudget newBudget() {
+        return new RepeatBudget(
+                settings.repeatRatio(),
+                settings.repeatReserve() * RESERVE_SHARE,
+                settings.repeatWindowMillis());
+    }
+
+    private void stop() {
+        try {
+            callers.stop();
+            control.stop();
+            httpClient.stop();
+            threads.stop();
+        } catch (Exception e) {
+            // Jetty's life cycle declares Exception; the process ends in any case.
+            EventLog.unexpected("stop", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -0,0 +1,77 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.internal.http.CallerStream;
+import dev.foxtailshed.kernel.direct.CallerTerms.ModelDemand;
+import dev.foxtailshed.kernel.direct.DecodeCapacity;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.PrefillSelector;
+import dev.foxtailshed.kernel.direct.ServerSelector;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Makes the flow that fits a request, and keeps what flows share. Runs on the entry's loop. */
+final class DirectFlows implements DirectEndpoint.FlowFactory {
+
+    /** How often the lines are looked at; a fraction of any latency objective. */
+    private static final long TICK_MILLIS = 20;
+
+    private final DirectContext context;
+    private final String zone;
+    private final EngineControl control;
+    private final ServerSelector selector;
+    private final Map<String, ModelService> models = new HashMap<>();
+
+    DirectFlows(DirectContext context, String zone) {
+        this.context = context;
+        this.zone = zone;
+        this.control = new EngineControl(context);
+        this.selector = new ServerSelector(zone, context.health(), context.random());
+    }
+
+    void start() {
+        context.timer().every(TICK_MILLIS, () -> context.loop().executeHere(this::tick));
+        context.view().subscribe(this::forgetDeparted);
+    }
+
+    EngineControl control() {
+        return control;
+    }
+
+    @Override
+    public DirectFlow create(CallerRequest request, CallerStream caller) {
+        if (!request.route().repeatability().isStream()) {
+            return new BufferedFlow(context, request, caller, selector);
+        }
+        Optional<ModelDemand> demand = request.terms().model();
+        if (request.service().engine().isPresent() && demand.isPresent()) {
+            ModelService model = modelService(request.service().name());
+            return new ModelFlow(context, request, caller, model, demand.get());
+        }
+        return new PlainStreamFlow(context, request, caller, selector);
+    }
+
+    private ModelService modelService(String name) {
+        return models.computeIfAbsent(
+                name,
+                key ->
+                        new ModelService(
+                                context,
+                                control,
+                                key,
+                                new DecodeReservations(
+                                        context, control, key, new DecodeCapacity(zone)),
+                                new PrefillSelector(zone)));
+    }
+
+    private void tick() {
+        models.values().forEach(model -> model.reservations().tick());
+    }
+
+    private void forgetDeparted() {
+        List<DirectServer> usable = context.view().servers().all();
+        context.health().retain(usable);
+        models.values().forEach(model -> model.reservations().retain(usable));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControl.java
@@ -0,0 +1,73 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.hosting.ServerProtocol;
+import dev.foxtailshed.daemon.hosting.ServerProtocol.ControlCall;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import java.net.ConnectException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.StringRequestContent;
+
+/** Sends control calls to model servers. Thread-safe; answers come on the entry's loop. */
+final class EngineControl {
+
+    /** Longest wait for a control call; servers answer these without queueing. */
+    private static final long TIMEOUT_MILLIS = 600;
+
+    private static final int MAXIMUM_ANSWER_BYTES = 1 << 20;
+
+    private final DirectContext context;
+
+    EngineControl(DirectContext context) {
+        this.context = context;
+    }
+
+    /**
+     * An answer to a control call.
+     *
+     * @param status its status, 0 if none came
+     * @param body its body
+     * @param unsent whether it is certain that the call was not sent
+     */
+    record Reply(int status, byte[] body, boolean unsent) {
+        boolean isSuccess() {
+            return status / 100 == 2;
+        }
+
+        boolean isAnswer() {
+            return status > 0;
+        }
+    }
+
+    void send(DirectServer server, ControlCall call, Consumer<Reply> next) {
+        ServerProtocol protocol = context.platform().servers();
+        Request request =
+                context.backendRequest(server, call.method().asString(), call.path())
+                        .headers(fields -> fields.add(protocol.controlHeaders(server.id())))
+                        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        call.body()
+                .ifPresent(
+                        body ->
+                                request.body(
+                                        new StringRequestContent(
+                                                "application/json", body.toString())));
+        request.send(
+                new BufferingResponseListener(MAXIMUM_ANSWER_BYTES) {
+                    @Override
+                    public void onComplete(Result result) {
+                        Reply reply = toReply(result, getContent());
+                        context.onLoop(() -> next.accept(reply));
+                    }
+                });
+    }
+
+    private static Reply toReply(Result result, byte[] content) {
+        if (result.isFailed()) {
+            return new Reply(0, new byte[0], result.getFailure() instanceof ConnectException);
+        }
+        return new Reply(result.getResponse().getStatus(), content, false);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -0,0 +1,262 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.hosting.ServerProtocol.AttemptTerms;
+import dev.foxtailshed.daemon.internal.direct.DecodeReservations.Reservation;
+import dev.foxtailshed.daemon.internal.http.CallerStream;
+import dev.foxtailshed.kernel.direct.CallOutcome;
+import dev.foxtailshed.kernel.direct.CallerTerms.ModelDemand;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.EventBoundary;
+import dev.foxtailshed.kernel.direct.NextStep;
+import dev.foxtailshed.kernel.direct.WaitingLine.Waiter;
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * A request to a language model: reserve decode capacity, read the prompt, then stream.
+ *
+ * <p>The reservation comes first, so that no prompt is read for which no decode server has room. A
+ * resumable stream that breaks goes on at another server after its last whole event.
+ */
+final class ModelFlow extends DirectFlow implements StreamRelay.Listener {
+
+    private final ModelService service;
+    private final ModelDemand demand;
+    private final EventBoundary boundary = new EventBoundary();
+    private Optional<Waiter<ModelFlow>> waiter = Optional.empty();
+    private Optional<Reservation> reservation = Optional.empty();
+    private Optional<BackendCall> prefill = Optional.empty();
+    private Optional<CachedPrompt> cached = Optional.empty();
+    private Optional<StreamRelay> relay = Optional.empty();
+    private final Set<DirectServer.Incarnation> prefillTried = new HashSet<>();
+    private int prefills;
+    private boolean resuming;
+    private boolean reservationUsed;
+    private long reservedMillis;
+
+    ModelFlow(
+            DirectContext context,
+            CallerRequest request,
+            CallerStream caller,
+            ModelService service,
+            ModelDemand demand) {
+        super(context, request, caller);
+        this.service = service;
+        this.demand = demand;
+    }
+
+    /**
+     * A prompt that was read and not yet fetched.
+     *
+     * @param server where it was read
+     * @param handle the handle of its KV cache
+     */
+    private record CachedPrompt(DirectServer server, String handle) {
+        String source() {
+            return server.address() + "/" + handle;
+        }
+    }
+
+    @Override
+    void begin() {
+        long nowMillis = context.timer().nowMillis();
+        boolean late = service.isLate(request, nowMillis);
+        long giveUpMillis = service.giveUpMillis(request, late || resuming, nowMillis);
+        Optional<Waiter<ModelFlow>> place =
+                service.reservations().join(this, request.route().priority(), late, giveUpMillis);
+        if (place.isEmpty()) {
+            refuse("no decode capacity in time: " + service.reservations().waiting() + " wait");
+        } else if (reservation.isEmpty()) {
+            waiter = place;
+        }
+    }
+
+    long tokensToReserve() {
+        return demand.tokensToReserve(ModelService.RESERVE_HEADROOM);
+    }
+
+    long reservationMillis() {
+        return service.reservationMillis();
+    }
+
+    /** Its time in the line is up. */
+    void waitedInVain() {
+        waiter = Optional.empty();
+        refuse("no decode capacity in time");
+    }
+
+    /** Decode capacity was reserved. */
+    void reserved(Reservation granted) {
+        waiter = Optional.empty();
+        reservation = Optional.of(granted);
+        reservationUsed = false;
+        reservedMillis = context.timer().nowMillis();
+        readPrompt();
+    }
+
+    private void refuse(String message) {
+        fail(message, false, service.retryAfterMillis(retrySoonMillis()));
+    }
+
+    private void readPrompt() {
+        Optional<DirectServer> server =
+                service.choosePrefill(prefillTried, context.timer().nowMillis());
+        if (server.isEmpty()) {
+            stream();
+            return;
+        }
+        boolean repeat = prefills > 0;
+        if (repeat && !budget().tryRepeat(context.timer().nowMillis())) {
+            fail("the budget for repeats is used up");
+            return;
+        }
+        prefills++;
+        prefillTried.add(server.get().incarnation());
+        Prefill listener = new Prefill(server.get());
+        prefill = Optional.of(listener.call);
+        service.prefillSelector().started(server.get(), demand.promptTokens());
+        listener.call.send();
+        listener.call.limitSilence(service.prefillSilenceMillis(demand));
+    }
+
+    private void prefilled(DirectServer server, Optional<String> handle, CallOutcome outcome) {
+        prefill = Optional.empty();
+        service.prefillSelector().ended(server, demand.promptTokens());
+        if (isFinished()) {
+            handle.ifPresent(unused -> service.releaseCache(server, unused));
+        } else if (handle.isPresent()) {
+            cached = Optional.of(new CachedPrompt(server, handle.get()));
+            stream();
+        } else if (remainingMillis() > 0) {
+            readPrompt();
+        } else {
+            fail("the prompt could not be read: " + outcome);
+        }
+    }
+
+    private void stream() {
+        Reservation held = reservation.orElseThrow();
+        OptionalLong resumeAfter = resuming ? boundary.lastId() : OptionalLong.empty();
+        AttemptTerms terms =
+                new AttemptTerms(
+                        held.server().id(),
+                        remainingMillis(),
+                        false,
+                        Optional.of(held.id()),
+                        cached.map(CachedPrompt::source),
+                        resumeAfter);
+        if (attempts() > 0 && !budget().tryRepeat(context.timer().nowMillis())) {
+            fail("the budget for repeats is used up");
+            return;
+        }
+        sending(held.server());
+        reservationUsed = true;
+        StreamRelay next = new StreamRelay(context, this, held.server(), terms, boundary, this);
+        relay = Optional.of(next);
+        next.send();
+    }
+
+    @Override
+    public void onFirstEvent(StreamRelay current) {
+        cached = Optional.empty();
+        service.firstEvent(context.timer().nowMillis() - reservedMillis);
+    }
+
+    @Override
+    public void onEnd(StreamRelay current, CallOutcome outcome, String detail) {
+        relay = Optional.empty();
+        attemptEnded(current.server(), outcome);
+        reservationUsed = outcome != CallOutcome.REFUSED && outcome != CallOutcome.UNREACHABLE;
+        if (isFinished()) {
+            return;
+        }
+        boolean complete = outcome == CallOutcome.ANSWERED || outcome == CallOutcome.SERVER_ERROR;
+        if (complete) {
+            endAnswer(current.status());
+        } else {
+            goOn(outcome, detail);
+        }
+    }
+
+    private void goOn(CallOutcome outcome, String detail) {
+        boolean midway = isAnswerStarted();
+        boolean resumable = !midway || boundary.lastId().isPresent() || !boundary.hasEvents();
+        releaseAll();
+        prefillTried.clear();
+        if (resumable && nextStep(outcome) == NextStep.TRY_ANOTHER) {
+            resuming = midway;
+            begin();
+        } else {
+            fail(
+                    detail,
+                    outcome == CallOutcome.SILENT,
+                    service.retryAfterMillis(retrySoonMillis()));
+        }
+    }
+
+    @Override
+    void cancelWork() {
+        waiter.ifPresent(service.reservations()::leave);
+        waiter = Optional.empty();
+        prefill.ifPresent(BackendCall::cancel);
+        relay.ifPresent(StreamRelay::cancel);
+        releaseAll();
+    }
+
+    private void releaseAll() {
+        cached.ifPresent(prompt -> service.releaseCache(prompt.server(), prompt.handle()));
+        cached = Optional.empty();
+        Optional<Reservation> held = reservation;
+        reservation = Optional.empty();
+        held.ifPresent(
+                reservationUsed ? service.reservations()::ended : service.reservations()::giveBack);
+    }
+
+    @Override
+    boolean hasAttemptUnderWay() {
+        return relay.isPresent();
+    }
+
+    /** One attempt to have the prompt read. */
+    private final class Prefill implements BackendCall.Listener {
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final DirectServer server;
+        private final BackendCall call;
+
+        Prefill(DirectServer server) {
+            this.server = server;
+            AttemptTerms terms =
+                    new AttemptTerms(
+                            server.id(),
+                            remainingMillis(),
+                            true,
+                            Optional.empty(),
+                            Optional.empty(),
+                            OptionalLong.empty());
+            call = new BackendCall(context, request, server, terms, this);
+        }
+
+        @Override
+        public void onHead(int status, HttpFields headers) {
+            // The handle stands in the body.
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd(CallOutcome outcome, String detail) {
+            Optional<String> handle =
+                    outcome == CallOutcome.ANSWERED
+                            ? context.platform().servers().cacheHandle(body.toByteArray())
+                            : Optional.empty();
+            prefilled(server, handle, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -0,0 +1,107 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.kernel.direct.CallerTerms.ModelDemand;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
+import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import dev.foxtailshed.kernel.direct.FirstEventTimes;
+import dev.foxtailshed.kernel.direct.PrefillSelector;
+import java.util.Optional;
+import java.util.Set;
+
+/** What the requests to one model service share at this entry. Runs on the entry's loop. */
+final class ModelService {
+
+    /**
+     * Factor on the expected output when capacity is reserved: below it running requests are
+     * preempted more often, above it capacity idles. Measured on both of the users' deployments.
+     */
+    static final double RESERVE_HEADROOM = 1.2;
+
+    /** Longest reservation asked for; a prompt is read in a fraction of this. */
+    private static final long RESERVATION_MILLIS = 2_000;
+
+    /** Slowest prompt reading that is waited for, in tokens a millisecond. */
+    private static final double SLOWEST_TOKENS_PER_MILLI = 4;
+
+    /** Least time that a prefill server gets before another is tried. */
+    private static final long LEAST_PREFILL_MILLIS = 500;
+
+    private final DirectContext context;
+    private final EngineControl control;
+    private final String name;
+    private final DecodeReservations reservations;
+    private final PrefillSelector prefillSelector;
+    private final FirstEventTimes times = new FirstEventTimes();
+
+    ModelService(
+            DirectContext context,
+            EngineControl control,
+            String name,
+            DecodeReservations reservations,
+            PrefillSelector prefillSelector) {
+        this.context = context;
+        this.control = control;
+        this.name = name;
+        this.reservations = reservations;
+        this.prefillSelector = prefillSelector;
+    }
+
+    DecodeReservations reservations() {
+        return reservations;
+    }
+
+    PrefillSelector prefillSelector() {
+        return prefillSelector;
+    }
+
+    Optional<DirectServer> choosePrefill(Set<Incarnation> tried, long nowMillis) {
+        return prefillSelector.choose(
+                context.view().servers().of(name, Stage.PREFILL),
+                tried,
+                context.health(),
+                nowMillis);
+    }
+
+    void releaseCache(DirectServer server, String handle) {
+        control.send(server, context.platform().servers().releaseCache(handle), reply -> {});
+    }
+
+    /** Tells whether a request has missed its objective before its work begins. */
+    boolean isLate(CallerRequest request, long nowMillis) {
+        return times.isLate(request.route(), request.terms(), nowMillis - request.arrivedMillis());
+    }
+
+    /** Tells until when a request may wait for decode capacity. */
+    long giveUpMillis(CallerRequest request, boolean late, long nowMillis) {
+        long limit =
+                times.waitLimitMillis(
+                        request.route(),
+                        request.terms(),
+                        nowMillis - request.arrivedMillis(),
+                        late);
+        return Math.min(nowMillis + limit, request.deadlineMillis());
+    }
+
+    void firstEvent(long sinceArrivalMillis) {
+        times.firstEvent(sinceArrivalMillis);
+    }
+
+    long reservationMillis() {
+        return context.view()
+                .routes()
+                .flatMap(routes -> routes.service(name))
+                .flatMap(service -> service.engine())
+                .map(engine -> Math.min(RESERVATION_MILLIS, engine.reservationLimitMillis()))
+                .orElse(RESERVATION_MILLIS);
+    }
+
+    long prefillSilenceMillis(ModelDemand demand) {
+        return LEAST_PREFILL_MILLIS + (long) (demand.promptTokens() / SLOWEST_TOKENS_PER_MILLI);
+    }
+
+    /** When a refused caller should come back: when the line is empty, spread out. */
+    long retryAfterMillis(long spreadMillis) {
+        return reservations.drainMillis() + spreadMillis;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
@@ -0,0 +1,77 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.internal.http.CallerStream;
+import dev.foxtailshed.kernel.direct.CallOutcome;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.EventBoundary;
+import dev.foxtailshed.kernel.direct.NextStep;
+import dev.foxtailshed.kernel.direct.ServerSelector;
+import java.util.Optional;
+
+/** A streamed request to a service without model servers. */
+final class PlainStreamFlow extends DirectFlow implements StreamRelay.Listener {
+
+    private final ServerSelector selector;
+    private final EventBoundary boundary = new EventBoundary();
+    private Optional<StreamRelay> current = Optional.empty();
+
+    PlainStreamFlow(
+            DirectContext context,
+            CallerRequest request,
+            CallerStream caller,
+            ServerSelector selector) {
+        super(context, request, caller);
+        this.selector = selector;
+    }
+
+    @Override
+    void begin() {
+        Optional<DirectServer> server =
+                selector.choose(
+                        context.view().servers().of(request.service().name()),
+                        tried(),
+                        context.timer().nowMillis());
+        if (server.isEmpty()) {
+            fail("no server of " + request.service().name() + " is left to try");
+            return;
+        }
+        sending(server.get());
+        StreamRelay relay =
+                new StreamRelay(
+                        context, this, server.get(), plainTerms(server.get()), boundary, this);
+        current = Optional.of(relay);
+        relay.send();
+    }
+
+    @Override
+    void cancelWork() {
+        current.ifPresent(StreamRelay::cancel);
+    }
+
+    @Override
+    boolean hasAttemptUnderWay() {
+        return current.isPresent();
+    }
+
+    @Override
+    public void onFirstEvent(StreamRelay relay) {
+        // Nothing waits for the first event here.
+    }
+
+    @Override
+    public void onEnd(StreamRelay relay, CallOutcome outcome, String detail) {
+        current = Optional.empty();
+        attemptEnded(relay.server(), outcome);
+        if (isFinished()) {
+            return;
+        }
+        boolean complete = outcome == CallOutcome.ANSWERED || outcome == CallOutcome.SERVER_ERROR;
+        if (complete) {
+            endAnswer(relay.status());
+        } else if (!isAnswerStarted() && nextStep(outcome) == NextStep.TRY_ANOTHER) {
+            begin();
+        } else {
+            fail(detail);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ServerCatalog.java
@@ -0,0 +1,41 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * The servers that may get new requests, by service.
+ *
+ * <p>Immutable; a change publishes a new catalogue.
+ *
+ * @param revision the store's revision at which it was read
+ * @param readMillis when it was read
+ * @param byService the servers by service
+ */
+record ServerCatalog(long revision, long readMillis, Map<String, List<DirectServer>> byService) {
+
+    static final ServerCatalog EMPTY = new ServerCatalog(0, 0, Map.of());
+
+    static ServerCatalog of(long revision, long readMillis, List<DirectServer> servers) {
+        return new ServerCatalog(
+                revision,
+                readMillis,
+                servers.stream().collect(Collectors.groupingBy(DirectServer::service)));
+    }
+
+    List<DirectServer> of(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    List<DirectServer> of(String service, Stage stage) {
+        return of(service).stream().filter(s -> s.stage().equals(Optional.of(stage))).toList();
+    }
+
+    List<DirectServer> all() {
+        return byService.values().stream().flatMap(List::stream).toList();
+    }
+}
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Entry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Entry.java
@@ -13,6 +13,7 @@
 import dev.foxtailshed.daemon.internal.http.EndpointChain;
 import dev.foxtailshed.daemon.internal.http.HealthEndpoint;
 import dev.foxtailshed.daemon.internal.http.HttpConnectors;
+import dev.foxtailshed.daemon.internal.http.InFlight;
 import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
 import dev.foxtailshed.daemon.internal.http.TlsSettings;
 import dev.foxtailshed.daemon.internal.manifest.ManifestHolder;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryContext.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryContext.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.daemon.internal.entry;
 
 import dev.foxtailshed.daemon.internal.entry.EntryMetrics.RequestLabel;
+import dev.foxtailshed.daemon.internal.http.InFlight;
 import dev.foxtailshed.daemon.internal.manifest.ManifestHolder;
 import dev.foxtailshed.daemon.internal.record.RecordWriter;
 import dev.foxtailshed.kernel.AttemptId;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -28,6 +28,12 @@
     STORE_UNAVAILABLE(3001, Level.WARN, "The platform's object API does not answer."),
     /** The object API answers again. */
     STORE_AVAILABLE(3002, Level.INFO, "The platform's object API answers again."),
+    STORE_HISTORY_GONE(3004, Level.INFO, "The store's history is gone; the list is read anew."),
+    STORE_ENTRY_UNREADABLE(3005, Level.WARN, "An entry of the store cannot be read; ignored."),
+    ROUTES_APPLIED(2101, Level.INFO, "A newer routing configuration is in force here."),
+    ROUTES_UNREADABLE(2102, Level.ERROR, "A routing configuration is unreadable; the old stays."),
+    SERVER_USABLE(2201, Level.INFO, "A backend server may get requests, or changed."),
+    SERVER_LEFT(2202, Level.INFO, "A backend server gets no new requests any more."),
     /** A shard of claims is damaged. */
     CLAIMS_UNREADABLE(3003, Level.ERROR, "A shard of claims is damaged; its calls are refused."),
     /** A repeated write of a batch of the record was refused: the first had taken effect. */
@@ -65,6 +71,7 @@
     /** A caller went away. */
     CALLER_GONE(5003, Level.INFO, "The caller went away; its work is cancelled."),
     /** A request is suspected of crashing servers. */
+    ATTEMPT_FAILED(5006, Level.INFO, "An attempt at a backend server failed."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     /** A suspect was refused. */
     SUSPECT_REFUSED(5005, Level.WARN, "A request that crashed two backend servers was refused."),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/BackendHttp.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttp.java
@@ -1,4 +1,4 @@
-package dev.foxtailshed.daemon.internal.sidecar;
+package dev.foxtailshed.daemon.internal.http;
 
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.ProxyAuthenticationProtocolHandler;
@@ -35,7 +35,7 @@
      *
      * @param client a started client
      */
-    static void passContentOn(HttpClient client) {
+    public static void passContentOn(HttpClient client) {
         client.getContentDecoderFactories().clear();
         // Jetty would answer for the caller: a 401 without a challenge becomes a failure.
         client.getProtocolHandlers().remove(RedirectProtocolHandler.NAME);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
@@ -98,6 +98,23 @@
         }
     }
 
+    /**
+     * Completes the answer with its last part.
+     *
+     * @param bytes the part, not changed afterwards
+     */
+    public void endWith(byte[] bytes) {
+        synchronized (this) {
+            if (closed || ending) {
+                return;
+            }
+            queue.add(ByteBuffer.wrap(bytes));
+            queuedBytes += bytes.length;
+            ending = true;
+        }
+        writeNext();
+    }
+
     /** Completes the answer once all parts are written. */
     public void end() {
         synchronized (this) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpConnectors.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpConnectors.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.ConnectionFactory;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -45,6 +47,32 @@
         return connector;
     }
 
+    /**
+     * Adds a connector that takes requests as they come, to be forwarded unchanged.
+     *
+     * @param server the server
+     * @param listen where to listen
+     * @param maximumHeadBytes the largest head of a request
+     * @return the connector
+     */
+    public static ServerConnector addForwarding(
+            Server server, InetSocketAddress listen, int maximumHeadBytes) {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        configuration.setRequestHeaderSize(maximumHeadBytes);
+        // The path belongs to the backend server, which decides what it means.
+        configuration.setUriCompliance(UriCompliance.UNSAFE);
+        configuration.setHttpCompliance(HttpCompliance.RFC7230);
+        HttpConnectionFactory http = new HttpConnectionFactory(configuration);
+        ServerConnector connector = new ServerConnector(server, ACCEPTORS, SELECTORS, http);
+        connector.setHost(listen.getAddress().getHostAddress());
+        connector.setPort(listen.getPort());
+        connector.setIdleTimeout(0);
+        server.addConnector(connector);
+        return connector;
+    }
+
     private static ConnectionFactory[] chain(
             SslContextFactory.Server factory, HttpConnectionFactory http) {
         return new ConnectionFactory[] {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/HttpExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
@@ -1,4 +1,4 @@
-package dev.foxtailshed.daemon.internal.sidecar;
+package dev.foxtailshed.daemon.internal.http;
 
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
@@ -17,7 +17,7 @@
  * be sent proves that it did not run; one after that leaves it open; one after the head of the
  * answer means that it ran.
  */
-final class HttpExchange {
+public final class HttpExchange {
 
     private final Request request;
     private final Handler handler;
@@ -25,13 +25,19 @@
     private volatile boolean answered;
     private volatile boolean aborted;
 
-    HttpExchange(Request request, Handler handler) {
+    /**
+     * Creates an exchange that has not been sent.
+     *
+     * @param request the request
+     * @param handler hears what becomes of it
+     */
+    public HttpExchange(Request request, Handler handler) {
         this.request = request;
         this.handler = handler;
     }
 
     /** Hears what becomes of one exchange. */
-    interface Handler {
+    public interface Handler {
         /**
          * The head of the answer came.
          *
@@ -66,14 +72,16 @@
         void onAborted();
     }
 
-    void send() {
+    /** Sends the request. */
+    public void send() {
         request.onRequestBegin(begin -> begun = true)
                 .onResponseHeaders(this::head)
                 .onResponseContentAsync(this::content)
                 .send(this::complete);
     }
 
-    void abort() {
+    /** Gives the exchange up. */
+    public void abort() {
         aborted = true;
         request.abort(new CancelledException());
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/manifest/ManifestStore.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/manifest/ManifestStore.java
@@ -1,7 +1,7 @@
 package dev.foxtailshed.daemon.internal.manifest;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.ObjectStore;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.StoredObject;
 import io.vavr.control.Either;
 import java.util.ArrayList;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/manifest/ManifestSubmitter.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/manifest/ManifestSubmitter.java
@@ -1,12 +1,12 @@
 package dev.foxtailshed.daemon.internal.manifest;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.daemon.internal.manifest.ManifestStore.HeadObject;
 import dev.foxtailshed.daemon.internal.platform.ObjectStore;
 import dev.foxtailshed.daemon.internal.platform.PutOutcome;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.Verdict;
 import dev.foxtailshed.kernel.manifest.Digests;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/manifest/ManifestWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/manifest/ManifestWatcher.java
@@ -1,10 +1,10 @@
 package dev.foxtailshed.daemon.internal.manifest;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.daemon.internal.platform.ObjectStore;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.StoredObject;
 import dev.foxtailshed.kernel.TimerService;
 import io.vavr.control.Either;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/operator/OperatorEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/operator/OperatorEndpoint.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.operator;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.http.BodyAccumulator;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.ErrorBody;
@@ -9,7 +10,6 @@
 import dev.foxtailshed.daemon.internal.manifest.ManifestStore;
 import dev.foxtailshed.daemon.internal.manifest.ManifestSubmitter;
 import dev.foxtailshed.daemon.internal.manifest.Submission;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.Verdict;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/operator/RecordsEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/operator/RecordsEndpoint.java
@@ -2,10 +2,10 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.ErrorBody;
 import dev.foxtailshed.daemon.internal.platform.ObjectListing;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.StoredObject;
 import dev.foxtailshed.daemon.internal.record.RecordStore;
 import dev.foxtailshed.kernel.ErrorCode;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/platform/HttpObjectStore.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/platform/HttpObjectStore.java
@@ -1,6 +1,8 @@
 package dev.foxtailshed.daemon.internal.platform;
 
-import dev.foxtailshed.kernel.Verdict;
+import dev.foxtailshed.daemon.hosting.StoreCalls;
+import dev.foxtailshed.daemon.hosting.StoreCalls.Answer;
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import io.vavr.control.Either;
 import java.net.URI;
 import java.net.URLEncoder;
@@ -11,12 +13,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
@@ -101,37 +101,13 @@
 
     private static <T> CompletableFuture<Either<StoreFailure, T>> send(
             Request request, Function<Answer, T> reader) {
-        CompletableFuture<Either<StoreFailure, T>> future = new CompletableFuture<>();
-        request.send(
-                new BufferingResponseListener(MAXIMUM_BODY_BYTES) {
-                    @Override
-                    public void onComplete(Result result) {
-                        future.complete(toEither(result, getContent(), reader));
-                    }
-                });
-        return future;
-    }
-
-    private static <T> Either<StoreFailure, T> toEither(
-            Result result, byte[] content, Function<Answer, T> reader) {
-        Response response = result.getResponse();
-        if (result.isFailed()) {
-            boolean unsent = result.getFailure() instanceof java.net.ConnectException;
-            Verdict verdict = unsent ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-            String cause = result.getFailure().getClass().getSimpleName();
-            return Either.left(new StoreFailure(verdict, "the platform did not answer: " + cause));
-        }
-        if (response.getStatus() >= HttpStatus.INTERNAL_SERVER_ERROR_500) {
-            // A proxy in front of the platform may answer 5xx after the platform applied the write.
-            boolean refused = response.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503;
-            Verdict verdict = refused ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-            return Either.left(new StoreFailure(verdict, "status " + response.getStatus()));
-        }
-        try {
-            return Either.right(reader.apply(new Answer(response, content)));
-        } catch (IllegalArgumentException e) {
-            return Either.left(new StoreFailure(Verdict.MAY_HAVE_RUN, e.getMessage()));
-        }
+        return StoreCalls.send(
+                request,
+                MAXIMUM_BODY_BYTES,
+                answer ->
+                        StoreCalls.serverError(answer)
+                                .<Either<StoreFailure, T>>map(Either::left)
+                                .orElseGet(() -> Either.right(reader.apply(answer))));
     }
 
     private static Optional<StoredObject> toObject(Answer answer) {
@@ -164,9 +140,6 @@
         return new IllegalArgumentException("unexpected status " + response.getStatus());
     }
 
-    /** A whole response. */
-    private record Answer(Response response, byte[] body) {}
-
     private static String objectPath(String name) {
         return "/v1/objects/" + name;
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/platform/ObjectStore.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/platform/ObjectStore.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.platform;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/record/RecordStore.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/record/RecordStore.java
@@ -1,8 +1,8 @@
 package dev.foxtailshed.daemon.internal.record;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.ObjectListing;
 import dev.foxtailshed.daemon.internal.platform.ObjectStore;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.StoredObject;
 import io.vavr.control.Either;
 import java.util.Optional;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/CompletionHandler.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/CompletionHandler.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.sidecar;
 
+import dev.foxtailshed.daemon.internal.http.HttpExchange;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.Verdict;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/PlainServiceDriver.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/PlainServiceDriver.java
@@ -1,5 +1,8 @@
 package dev.foxtailshed.daemon.internal.sidecar;
 
+import dev.foxtailshed.daemon.internal.http.BackendHttp;
+import dev.foxtailshed.daemon.internal.http.HopByHopHeaders;
+import dev.foxtailshed.daemon.internal.http.HttpExchange;
 import dev.foxtailshed.kernel.AttemptId;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecarrole/FencingNumbers.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecarrole/FencingNumbers.java
@@ -1,8 +1,8 @@
 package dev.foxtailshed.daemon.internal.sidecarrole;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.ObjectStore;
 import dev.foxtailshed.daemon.internal.platform.PutOutcome;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.StoredObject;
 import dev.foxtailshed.kernel.TimerService;
 import io.vavr.control.Either;
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/claims/ClaimWorld.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/claims/ClaimWorld.java
@@ -1,10 +1,10 @@
 package dev.foxtailshed.daemon.internal.claims;
 
+import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.ObjectListing;
 import dev.foxtailshed.daemon.internal.platform.ObjectStore;
 import dev.foxtailshed.daemon.internal.platform.PlatformInstance;
 import dev.foxtailshed.daemon.internal.platform.PutOutcome;
-import dev.foxtailshed.daemon.internal.platform.StoreFailure;
 import dev.foxtailshed.daemon.internal.platform.StoredObject;
 import dev.foxtailshed.kernel.SteppedTimerService;
 import dev.foxtailshed.kernel.Verdict;
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/sidecar/BackendDriversTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/sidecar/BackendDriversTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import dev.foxtailshed.daemon.internal.http.BackendHttp;
 import dev.foxtailshed.kernel.AttemptId;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
--- /dev/null
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeCapacity.java
@@ -0,0 +1,152 @@
+package dev.foxtailshed.kernel.direct;
+
+import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Chooses the decode server that is asked for a reservation next.
+ *
+ * <p>Answers a full pool seen through a narrow window: each entry knows only its own requests, and
+ * a server's refusal is the one exact sign that it is full. A refused server is left alone for a
+ * short pause or until one of this entry's requests ends there; among the others, the one with the
+ * fewest tokens of this entry comes first. Not thread-safe.
+ */
+public final class DecodeCapacity {
+
+    /** Pause after a refusal, about the time in which one of a full server's streams ends. */
+    private static final long REFUSAL_PAUSE_MILLIS = 60;
+
+    /** Tokens that a server in another zone counts as fuller; a tie should stay in the zone. */
+    private static final long OTHER_ZONE_TOKENS = 1_500;
+
+    private final String zone;
+    private final Map<Incarnation, Use> uses = new HashMap<>();
+
+    /**
+     * Creates the chooser.
+     *
+     * @param zone the entry's availability zone
+     */
+    public DecodeCapacity(String zone) {
+        this.zone = zone;
+    }
+
+    /**
+     * Chooses a server to ask.
+     *
+     * @param servers the decode servers
+     * @param tried servers to leave out
+     * @param board the servers' health
+     * @param nowMillis the time
+     * @return the server, or nothing if all are full, asked already or in quarantine
+     */
+    public Optional<DirectServer> choose(
+            List<DirectServer> servers, Set<Incarnation> tried, HealthBoard board, long nowMillis) {
+        DirectServer best = null;
+        long bestTokens = Long.MAX_VALUE;
+        for (DirectServer server : servers) {
+            Use use = use(server);
+            if (tried.contains(server.incarnation())
+                    || use.asking
+                    || use.closedUntilMillis > nowMillis
+                    || !board.of(server).isEligible(nowMillis)) {
+                continue;
+            }
+            long tokens = use.tokens + (server.zone().equals(zone) ? 0 : OTHER_ZONE_TOKENS);
+            if (tokens < bestTokens) {
+                bestTokens = tokens;
+                best = server;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Notes that a server is being asked; until its answer it is not asked again.
+     *
+     * @param server the server
+     */
+    public void asking(DirectServer server) {
+        use(server).asking = true;
+    }
+
+    /**
+     * Notes a reservation.
+     *
+     * @param server the server
+     * @param tokens the tokens reserved
+     */
+    public void reserved(DirectServer server, long tokens) {
+        Use use = use(server);
+        use.asking = false;
+        use.tokens += tokens;
+        use.requests++;
+    }
+
+    /**
+     * Notes a refusal.
+     *
+     * @param server the server
+     * @param nowMillis the time
+     */
+    public void refused(DirectServer server, long nowMillis) {
+        Use use = use(server);
+        use.asking = false;
+        use.closedUntilMillis = nowMillis + REFUSAL_PAUSE_MILLIS;
+    }
+
+    /**
+     * Notes that a question got no usable answer.
+     *
+     * @param server the server
+     */
+    public void unanswered(DirectServer server) {
+        use(server).asking = false;
+    }
+
+    /**
+     * Notes the end of a reservation or of the request that used it.
+     *
+     * @param server the server
+     * @param tokens the tokens that were reserved
+     */
+    public void released(DirectServer server, long tokens) {
+        Use use = use(server);
+        use.tokens -= tokens;
+        use.requests--;
+        use.closedUntilMillis = Long.MIN_VALUE;
+    }
+
+    /**
+     * Forgets servers that are gone and unused.
+     *
+     * @param usable the servers that may get requests
+     */
+    public void retain(List<DirectServer> usable) {
+        Set<Incarnation> kept =
+                usable.stream().map(DirectServer::incarnation).collect(Collectors.toSet());
+        uses.entrySet()
+                .removeIf(entry -> entry.getValue().isIdle() && !kept.contains(entry.getKey()));
+    }
+
+    private Use use(DirectServer server) {
+        return uses.computeIfAbsent(server.incarnation(), key -> new Use());
+    }
+
+    /** What this entry has at one server. */
+    private static final class Use {
+        private long tokens;
+        private int requests;
+        private boolean asking;
+        private long closedUntilMillis = Long.MIN_VALUE;
+
+        boolean isIdle() {
+            return requests == 0 && !asking;
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/FirstEventTimes.java
@@ -0,0 +1,79 @@
+package dev.foxtailshed.kernel.direct;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Tells how long a streamed request can wait for capacity and still meet its objective.
+ *
+ * <p>The objective counts from the caller's first attempt. A caller that comes back waits for less
+ * than it did at first, so the largest deadline seen on a route tells how long ago that was. Not
+ * thread-safe.
+ */
+public final class FirstEventTimes {
+
+    /** Time from reservation to first event before any was measured. */
+    private static final double FIRST_ESTIMATE_MILLIS = 250;
+
+    /** Weight of the newest sample: about the last ten requests count. */
+    private static final double SAMPLE_WEIGHT = 0.1;
+
+    /** How long a late request may wait, in multiples of its objective; callers leave at four. */
+    private static final long LATE_WAIT_OBJECTIVES = 2;
+
+    /** Differences in deadline below this are transit time, not an earlier attempt. */
+    private static final long DEADLINE_NOISE_MILLIS = 50;
+
+    private final Map<String, Long> longestDeadlineMillis = new HashMap<>();
+    private double serviceMillis = FIRST_ESTIMATE_MILLIS;
+
+    /**
+     * Tells whether a request can no longer meet its objective.
+     *
+     * @param route its route
+     * @param terms what the caller says
+     * @param sinceArrivalMillis the time since it arrived
+     * @return true if it is late already
+     */
+    public boolean isLate(DirectRoute route, CallerTerms terms, long sinceArrivalMillis) {
+        return leftMillis(route, terms, sinceArrivalMillis) <= 0;
+    }
+
+    /**
+     * Tells how long a request may wait for capacity.
+     *
+     * @param route its route
+     * @param terms what the caller says
+     * @param sinceArrivalMillis the time since it arrived
+     * @param late whether it has missed its objective
+     * @return the limit from now
+     */
+    public long waitLimitMillis(
+            DirectRoute route, CallerTerms terms, long sinceArrivalMillis, boolean late) {
+        return late
+                ? LATE_WAIT_OBJECTIVES * route.targetLatencyMillis()
+                : Math.max(0, leftMillis(route, terms, sinceArrivalMillis));
+    }
+
+    /**
+     * Notes the time from reservation to the first event.
+     *
+     * @param millis the time
+     */
+    public void firstEvent(long millis) {
+        serviceMillis += SAMPLE_WEIGHT * (millis - serviceMillis);
+    }
+
+    private long leftMillis(DirectRoute route, CallerTerms terms, long sinceArrivalMillis) {
+        long earlierMillis = 0;
+        if (terms.deadlineMillis().isPresent()) {
+            long deadline = terms.deadlineMillis().getAsLong();
+            long longest = longestDeadlineMillis.merge(route.name(), deadline, Math::max);
+            earlierMillis = longest - deadline > DEADLINE_NOISE_MILLIS ? longest - deadline : 0;
+        }
+        return route.targetLatencyMillis()
+                - earlierMillis
+                - sinceArrivalMillis
+                - (long) serviceMillis;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
@@ -0,0 +1,118 @@
+package dev.foxtailshed.kernel.direct;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the routing configuration.
+ *
+ * <p>Immutable. A request is matched against one table from its head to its end.
+ */
+public final class RouteTable {
+
+    private final long version;
+    private final List<DirectRoute> routes;
+    private final Map<String, DirectService> services;
+    private final CallerLimits limits;
+    private final Map<String, Map<String, DirectRoute>> byHostAndPrefix = new HashMap<>();
+
+    /**
+     * Creates a table.
+     *
+     * @param version the version, which increases with each change
+     * @param routes the routes
+     * @param services the services by name
+     * @param limits the limits on callers
+     */
+    public RouteTable(
+            long version,
+            List<DirectRoute> routes,
+            Map<String, DirectService> services,
+            CallerLimits limits) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        this.services = Map.copyOf(services);
+        this.limits = limits;
+        for (DirectRoute route : routes) {
+            byHostAndPrefix
+                    .computeIfAbsent(route.host(), host -> new HashMap<>())
+                    .put(route.pathPrefix(), route);
+        }
+    }
+
+    /**
+     * Finds the route with the longest prefix of the path.
+     *
+     * @param host the request's host, with or without a port
+     * @param path the request's path as sent, without the query
+     * @return the route, or nothing if none matches
+     */
+    public Optional<DirectRoute> match(String host, String path) {
+        Map<String, DirectRoute> byPrefix = byHostAndPrefix.get(normalize(host));
+        if (byPrefix == null) {
+            return Optional.empty();
+        }
+        for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+            DirectRoute route = byPrefix.get(path.substring(0, end + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the routes.
+     *
+     * @return all routes
+     */
+    public List<DirectRoute> routes() {
+        return routes;
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service, or nothing if the table has none of this name
+     */
+    public Optional<DirectService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Returns the services.
+     *
+     * @return the services by name
+     */
+    public Map<String, DirectService> services() {
+        return services;
+    }
+
+    /**
+     * Returns the limits.
+     *
+     * @return the limits on callers
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    private static String normalize(String host) {
+        int colon = host.lastIndexOf(':');
+        boolean port = colon > host.lastIndexOf(']');
+        return (port ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
@@ -0,0 +1,76 @@
+package dev.foxtailshed.kernel.direct;
+
+import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides how many model servers of a service read prompts, and which one changes next.
+ *
+ * <p>Answers a pool whose decode memory is full while prefill servers idle, or the reverse. The
+ * wanted share follows from what one request costs at either stage; a change costs a server for its
+ * switch time, so only a distance of a whole server is acted on.
+ */
+public final class StagePlan {
+
+    private final double prefillShare;
+
+    /**
+     * Creates a plan.
+     *
+     * @param prefillShare the share of servers that should read prompts, from 0 to 1
+     */
+    public StagePlan(double prefillShare) {
+        this.prefillShare = prefillShare;
+    }
+
+    /**
+     * Returns the wanted number of prefill servers.
+     *
+     * @param servers how many servers the service has
+     * @return at least one, and less than all, where there are two or more
+     */
+    public int wantedPrefill(int servers) {
+        if (servers < 2) {
+            return 0;
+        }
+        long rounded = Math.round(prefillShare * servers);
+        return (int) Math.max(1, Math.min(servers - 1, rounded));
+    }
+
+    /**
+     * Chooses the next change.
+     *
+     * @param servers the usable model servers of one service
+     * @return the change, or nothing if the split is as wanted
+     */
+    public Optional<Change> next(List<DirectServer> servers) {
+        List<DirectServer> prefill = ofStage(servers, Stage.PREFILL);
+        List<DirectServer> decode = ofStage(servers, Stage.DECODE);
+        int wanted = wantedPrefill(prefill.size() + decode.size());
+        if (prefill.size() > wanted) {
+            return pick(prefill).map(server -> new Change(server, Stage.DECODE));
+        }
+        if (prefill.size() < wanted) {
+            return pick(decode).map(server -> new Change(server, Stage.PREFILL));
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * A change of one server's stage.
+     *
+     * @param server the server
+     * @param stage its new stage
+     */
+    public record Change(DirectServer server, Stage stage) {}
+
+    private static List<DirectServer> ofStage(List<DirectServer> servers, Stage stage) {
+        return servers.stream().filter(s -> s.stage().equals(Optional.of(stage))).toList();
+    }
+
+    private static Optional<DirectServer> pick(List<DirectServer> servers) {
+        return servers.stream().max(Comparator.comparing(DirectServer::id));
+    }
+}
