--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/HostingPlatform.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/HostingPlatform.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.eclipse.jetty.client.HttpClient;
 
 /**
@@ -34,11 +35,12 @@
      * Opens a client of the platform's store.
      *
      * @param httpClient a started client
-     * @param address the store's address
+     * @param address the store's address, asked for at each call, since settings may change
      * @param timeoutMillis how long a call may take, besides the time that a watch waits
      * @return the client
      */
-    SharedStore openStore(HttpClient httpClient, InetSocketAddress address, long timeoutMillis);
+    SharedStore openStore(
+            HttpClient httpClient, Supplier<InetSocketAddress> address, long timeoutMillis);
 
     /**
      * Reads the routing configuration.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -95,15 +95,15 @@
     }
 
     private void pump() {
-        while (asking < MAXIMUM_ASKING && line.first().isPresent()) {
+        long nowMillis = context.timer().nowMillis();
+        while (asking < MAXIMUM_ASKING && line.first(nowMillis).isPresent()) {
             List<DirectServer> servers = context.view().servers().of(service, Stage.DECODE);
             Optional<DirectServer> server =
-                    capacity.choose(
-                            servers, Set.of(), context.health(), context.timer().nowMillis());
+                    capacity.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
                 return;
             }
-            Waiter<ModelFlow> waiter = line.first().get();
+            Waiter<ModelFlow> waiter = line.first(nowMillis).get();
             line.leave(waiter);
             ask(waiter, server.get());
         }
@@ -134,11 +134,12 @@
             if (flow.isFinished()) {
                 giveBack(reservation);
             } else {
-                line.granted(nowMillis);
+                line.granted(waiter, nowMillis);
                 flow.reserved(reservation);
             }
         } else {
             capacity.refused(server, nowMillis);
+            line.refused(nowMillis);
             if (!reply.isAnswer()) {
                 context.health().of(server).unanswered(nowMillis);
             }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -13,6 +13,7 @@
 import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
 import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
 import dev.foxtailshed.daemon.internal.role.RunningRole;
+import dev.foxtailshed.daemon.internal.role.SignalHandlers;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
 import dev.foxtailshed.daemon.internal.timer.ExecutorTimerService;
 import dev.foxtailshed.kernel.direct.HealthBoard;
@@ -59,7 +60,10 @@
     /** Share of the reserve for repeats that this entry uses, for deployments of some entries. */
     private static final double RESERVE_SHARE = 0.2;
 
-    private final DirectSettings settings;
+    /** The name of the lease for orders to model servers in the store. */
+    private static final String ORDER_LEASE = "stage-orders";
+
+    private final SettingsWatcher settings;
     private final QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
     private final ExecutorTimerService timer = new ExecutorTimerService();
     private final HttpClient httpClient = BackendHttp.newClient();
@@ -70,14 +74,16 @@
     private final ServerConnector connector;
     private final DeploymentView view;
     private final DirectFlows flows;
+    private final StageCoordinator coordinator;
     private volatile boolean leaving;
 
-    DirectEntry(DirectSettings settings, HostingPlatform platform, Path file) {
-        this.settings = settings;
+    DirectEntry(DirectSettings first, HostingPlatform platform, Path file) {
+        settings = new SettingsWatcher(file, first);
         threads.setName("direct");
         DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
         SharedStore store =
-                platform.openStore(httpClient, settings.storeAddress(), STORE_TIMEOUT_MILLIS);
+                platform.openStore(
+                        httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
         SerialExecutor loop = new SerialExecutor(threads);
         view = new DeploymentView(platform, store, timer, loop, random);
         DirectContext context =
@@ -91,12 +97,13 @@
                         new RepeatBudgets(name -> newBudget()),
                         new DirectJournal(registry, timer, view::servers),
                         random);
-        flows = new DirectFlows(context, settings.zone());
+        flows = new DirectFlows(context, first.zone());
+        coordinator = newCoordinator(context, store, first);
         connector =
-                HttpConnectors.addForwarding(callers, settings.callerAddress(), MAXIMUM_HEAD_BYTES);
-        HttpConnectors.add(control, settings.readinessAddress(), Optional.empty());
-        if (!settings.controlAddress().equals(settings.readinessAddress())) {
-            HttpConnectors.add(control, settings.controlAddress(), Optional.empty());
+                HttpConnectors.addForwarding(callers, first.callerAddress(), MAXIMUM_HEAD_BYTES);
+        HttpConnectors.add(control, first.readinessAddress(), Optional.empty());
+        if (!first.controlAddress().equals(first.readinessAddress())) {
+            HttpConnectors.add(control, first.controlAddress(), Optional.empty());
         }
         callers.setHandler(
                 new EndpointChain(
@@ -121,6 +128,9 @@
             BackendHttp.passContentOn(httpClient);
             view.start();
             flows.start();
+            coordinator.start();
+            settings.start(timer);
+            SignalHandlers.onHangup(() -> settings.reload("SIGHUP"));
             control.start();
             callers.start();
         } catch (IOException e) {
@@ -141,10 +151,10 @@
         long endNanos =
                 System.nanoTime()
                         + TimeUnit.MILLISECONDS.toNanos(
-                                settings.graceMillis() - EXIT_MARGIN_MILLIS);
+                                settings.get().graceMillis() - EXIT_MARGIN_MILLIS);
         leaving = true;
         // The balancer goes on sending until it has seen "not ready" twice.
-        Thread.sleep(Math.min(BALANCER_NOTICE_MILLIS, settings.graceMillis() / 2));
+        Thread.sleep(Math.min(BALANCER_NOTICE_MILLIS, settings.get().graceMillis() / 2));
         try {
             inFlight.idle().get(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
         } catch (TimeoutException e) {
@@ -157,15 +167,23 @@
         stop();
     }
 
+    private StageCoordinator newCoordinator(
+            DirectContext context, SharedStore store, DirectSettings first) {
+        OrderLease lease =
+                new OrderLease(context, store, ORDER_LEASE, first.instance(), first.leaseMillis());
+        return new StageCoordinator(
+                context, flows.control(), lease, first.instance(), flows::isLoaded);
+    }
+
     private boolean isReady() {
         return !leaving && view.isComplete();
     }
 
     private RepeatBudget newBudget() {
         return new RepeatBudget(
-                settings.repeatRatio(),
-                settings.repeatReserve() * RESERVE_SHARE,
-                settings.repeatWindowMillis());
+                settings.get().repeatRatio(),
+                settings.get().repeatReserve() * RESERVE_SHARE,
+                settings.get().repeatWindowMillis());
     }
 
     private void stop() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -17,11 +17,15 @@
     /** How often the lines are looked at; a fraction of any latency objective. */
     private static final long TICK_MILLIS = 20;
 
+    /** How long after a request the deployment counts as loaded. */
+    private static final long LOADED_MILLIS = 2_000;
+
     private final DirectContext context;
     private final String zone;
     private final EngineControl control;
     private final ServerSelector selector;
     private final Map<String, ModelService> models = new HashMap<>();
+    private long lastRequestMillis = Long.MIN_VALUE / 2;
 
     DirectFlows(DirectContext context, String zone) {
         this.context = context;
@@ -35,12 +39,18 @@
         context.view().subscribe(this::forgetDeparted);
     }
 
+    /** Tells whether a request came within the last seconds. */
+    boolean isLoaded() {
+        return context.timer().nowMillis() - lastRequestMillis < LOADED_MILLIS;
+    }
+
     EngineControl control() {
         return control;
     }
 
     @Override
     public DirectFlow create(CallerRequest request, CallerStream caller) {
+        lastRequestMillis = context.timer().nowMillis();
         if (!request.route().repeatability().isStream()) {
             return new BufferedFlow(context, request, caller, selector);
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectJournal.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectJournal.java
@@ -45,6 +45,51 @@
                 Field.of("serversAgeMillis", timer.nowMillis() - servers.readMillis()));
     }
 
+    /** The first event of a model's stream came. */
+    void streamStarted(CallerRequest request, StreamTimes times) {
+        registry.timer("streams.waited").update(times.waitedMillis(), TimeUnit.MILLISECONDS);
+        registry.timer("streams.prefilled").update(times.prefillMillis(), TimeUnit.MILLISECONDS);
+        EventLog.log(
+                EventCode.STREAM_STARTED,
+                Field.of("request", request.id()),
+                Field.of("server", times.server()),
+                Field.of("prefillServer", times.prefillServer()),
+                Field.of("promptTokens", times.promptTokens()),
+                Field.of("reservedTokens", times.reservedTokens()),
+                Field.of("waitedMillis", times.waitedMillis()),
+                Field.of("prefillMillis", times.prefillMillis()),
+                Field.of("elapsedMillis", timer.nowMillis() - request.arrivedMillis()));
+    }
+
+    /** A model's stream was passed on as a whole. */
+    void streamEnded(CallerRequest request, String server, long tookMillis, int events) {
+        registry.timer("streams.ran").update(tookMillis, TimeUnit.MILLISECONDS);
+        EventLog.log(
+                EventCode.STREAM_ENDED,
+                Field.of("request", request.id()),
+                Field.of("server", server),
+                Field.of("events", events),
+                Field.of("tookMillis", tookMillis));
+    }
+
+    /**
+     * Where the time to the first event went.
+     *
+     * @param server the decode server
+     * @param prefillServer the prefill server
+     * @param promptTokens tokens of the prompt
+     * @param reservedTokens tokens reserved at the decode server
+     * @param waitedMillis time until the reservation
+     * @param prefillMillis time that reading the prompt took
+     */
+    record StreamTimes(
+            String server,
+            String prefillServer,
+            long promptTokens,
+            long reservedTokens,
+            long waitedMillis,
+            long prefillMillis) {}
+
     /** A request was answered with what a server sent. */
     void answered(CallerRequest request, int status) {
         registry.timer("requests." + request.route().repeatability().name())
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol.AttemptTerms;
 import dev.foxtailshed.daemon.internal.direct.DecodeReservations.Reservation;
+import dev.foxtailshed.daemon.internal.direct.DirectJournal.StreamTimes;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.CallerTerms.ModelDemand;
@@ -37,6 +38,8 @@
     private boolean resuming;
     private boolean reservationUsed;
     private long reservedMillis;
+    private long prefilledMillis;
+    private String prefillServer = "none";
 
     ModelFlow(
             DirectContext context,
@@ -130,6 +133,8 @@
             handle.ifPresent(unused -> service.releaseCache(server, unused));
         } else if (handle.isPresent()) {
             cached = Optional.of(new CachedPrompt(server, handle.get()));
+            prefilledMillis = context.timer().nowMillis();
+            prefillServer = server.id();
             stream();
         } else if (remainingMillis() > 0) {
             readPrompt();
@@ -163,7 +168,17 @@
     @Override
     public void onFirstEvent(StreamRelay current) {
         cached = Optional.empty();
-        service.firstEvent(context.timer().nowMillis() - reservedMillis);
+        context.journal()
+                .streamStarted(
+                        request,
+                        new StreamTimes(
+                                current.server().id(),
+                                prefillServer,
+                                demand.promptTokens(),
+                                tokensToReserve(),
+                                reservedMillis - request.arrivedMillis(),
+                                Math.max(0, prefilledMillis - reservedMillis)));
+        service.firstEvent(demand, context.timer().nowMillis() - reservedMillis);
     }
 
     @Override
@@ -176,6 +191,12 @@
         }
         boolean complete = outcome == CallOutcome.ANSWERED || outcome == CallOutcome.SERVER_ERROR;
         if (complete) {
+            context.journal()
+                    .streamEnded(
+                            request,
+                            current.server().id(),
+                            current.elapsedMillis(),
+                            boundary.events());
             endAnswer(current.status());
         } else {
             goOn(outcome, detail);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -16,7 +16,7 @@
      * Factor on the expected output when capacity is reserved: below it running requests are
      * preempted more often, above it capacity idles. Measured on both of the users' deployments.
      */
-    static final double RESERVE_HEADROOM = 1.2;
+    static final double RESERVE_HEADROOM = 0.8;
 
     /** Longest reservation asked for; a prompt is read in a fraction of this. */
     private static final long RESERVATION_MILLIS = 2_000;
@@ -83,8 +83,8 @@
         return Math.min(nowMillis + limit, request.deadlineMillis());
     }
 
-    void firstEvent(long sinceArrivalMillis) {
-        times.firstEvent(sinceArrivalMillis);
+    void firstEvent(ModelDemand demand, long sinceReservationMillis) {
+        times.firstEvent(demand.promptTokens(), sinceReservationMillis);
     }
 
     long reservationMillis() {
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/OrderLease.java
@@ -0,0 +1,117 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import com.google.gson.JsonObject;
+import dev.foxtailshed.daemon.hosting.SharedStore;
+import dev.foxtailshed.daemon.hosting.StoreCollection;
+import dev.foxtailshed.daemon.hosting.StoreEntry;
+import dev.foxtailshed.daemon.hosting.StoreFailure;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+/**
+ * The lease under which one entry at a time gives orders to model servers.
+ *
+ * <p>Each grant is a conditional write to the store, and the revision that it gets is the fencing
+ * token: it only grows. The lease is renewed before each order and not in between. Another entry
+ * takes it over only after it has seen it unchanged for two lease times on its own clock, so the
+ * orders of two holders lie more than one lease time apart. Runs on the entry's loop.
+ */
+final class OrderLease {
+
+    private static final String HOLDER = "holder";
+    private static final String GRANTS = "grants";
+
+    /** Lease times without a change after which another entry takes over. */
+    private static final int TAKEOVER_LEASES = 2;
+
+    private final DirectContext context;
+    private final SharedStore store;
+    private final String name;
+    private final String holder;
+    private final long leaseMillis;
+    private long seenRevision = -1;
+    private long seenSinceMillis;
+
+    OrderLease(
+            DirectContext context,
+            SharedStore store,
+            String name,
+            String holder,
+            long leaseMillis) {
+        this.context = context;
+        this.store = store;
+        this.name = name;
+        this.holder = holder;
+        this.leaseMillis = leaseMillis;
+    }
+
+    /** Gets a fencing token for an order that is sent at once; empty if it must not be sent. */
+    void acquire(Consumer<OptionalLong> next) {
+        store.get(StoreCollection.LEASES, name)
+                .thenAccept(read -> context.onLoop(() -> onRead(read, next)));
+    }
+
+    private void onRead(
+            Either<StoreFailure, Optional<StoreEntry>> read, Consumer<OptionalLong> next) {
+        if (read.isLeft()) {
+            refused("the store failed: " + read.getLeft().message(), next);
+        } else if (read.get().isEmpty()) {
+            store.create(StoreCollection.LEASES, name, body(1))
+                    .thenAccept(made -> context.onLoop(() -> onWritten(made, next)));
+        } else if (mayTake(read.get().get())) {
+            StoreEntry entry = read.get().get();
+            store.replace(StoreCollection.LEASES, entry, body(grantsOf(entry) + 1))
+                    .thenAccept(made -> context.onLoop(() -> onWritten(made, next)));
+        } else {
+            refused("held by " + holderOf(read.get().get()), next);
+        }
+    }
+
+    private boolean mayTake(StoreEntry entry) {
+        if (holderOf(entry).equals(holder)) {
+            return true;
+        }
+        long nowMillis = context.timer().nowMillis();
+        if (entry.revision() != seenRevision) {
+            seenRevision = entry.revision();
+            seenSinceMillis = nowMillis;
+        }
+        return nowMillis - seenSinceMillis >= TAKEOVER_LEASES * leaseMillis;
+    }
+
+    private void onWritten(Either<StoreFailure, StoreEntry> made, Consumer<OptionalLong> next) {
+        if (made.isLeft()) {
+            // A write that may have happened is settled by the next read.
+            refused("not written: " + made.getLeft().message(), next);
+            return;
+        }
+        EventLog.log(EventCode.LEASE_TAKEN, Field.of("fencingToken", made.get().revision()));
+        next.accept(OptionalLong.of(made.get().revision()));
+    }
+
+    private static void refused(String cause, Consumer<OptionalLong> next) {
+        EventLog.log(EventCode.LEASE_REFUSED, Field.of("cause", cause));
+        next.accept(OptionalLong.empty());
+    }
+
+    private JsonObject body(long grants) {
+        JsonObject body = new JsonObject();
+        body.addProperty(HOLDER, holder);
+        // Makes each grant a change, since an unchanged write gets no new revision.
+        body.addProperty(GRANTS, grants);
+        return body;
+    }
+
+    private static String holderOf(StoreEntry entry) {
+        return entry.body().has(HOLDER) ? entry.body().get(HOLDER).getAsString() : "";
+    }
+
+    private static long grantsOf(StoreEntry entry) {
+        return entry.body().has(GRANTS) ? entry.body().get(GRANTS).getAsLong() : 0;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -0,0 +1,143 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.hosting.ServerProtocol;
+import dev.foxtailshed.daemon.hosting.ServerProtocol.EngineState;
+import dev.foxtailshed.daemon.internal.direct.EngineControl.Reply;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.DirectService;
+import dev.foxtailshed.kernel.direct.EngineTerms;
+import dev.foxtailshed.kernel.direct.RouteTable;
+import dev.foxtailshed.kernel.direct.StagePlan;
+import dev.foxtailshed.kernel.direct.StagePlan.Change;
+import dev.foxtailshed.kernel.direct.StagePlanner;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Orders model servers to change their stage, under the lease for orders.
+ *
+ * <p>Every entry looks at the plan; who gets the lease acts on it. Before an order the server's own
+ * count of orders is read and sent along, so that an order which comes late, or after another one,
+ * is refused by the server. Runs on the entry's loop.
+ */
+final class StageCoordinator {
+
+    /** Time between two looks at the plan; varied by half, so that entries do not act in step. */
+    private static final long PERIOD_MILLIS = 500;
+
+    /**
+     * Share of a service's servers that read prompts before demand is known: decode memory runs out
+     * first, as measured on both of the users' deployments.
+     */
+    private static final double PREFILL_SHARE = 1.0 / 3;
+
+    private final DirectContext context;
+    private final EngineControl control;
+    private final OrderLease lease;
+    private final String holder;
+    private final BooleanSupplier loaded;
+    private final Map<String, StagePlanner> planners = new HashMap<>();
+    private boolean ordering;
+
+    StageCoordinator(
+            DirectContext context,
+            EngineControl control,
+            OrderLease lease,
+            String holder,
+            BooleanSupplier loaded) {
+        this.context = context;
+        this.control = control;
+        this.lease = lease;
+        this.holder = holder;
+        this.loaded = loaded;
+    }
+
+    void start() {
+        long spreadMillis = (long) (PERIOD_MILLIS * context.random().getAsDouble());
+        context.once(PERIOD_MILLIS / 2 + spreadMillis, this::look);
+    }
+
+    private void look() {
+        Optional<RouteTable> routes = context.view().routes();
+        if (routes.isPresent() && context.view().isComplete() && !ordering) {
+            for (DirectService service : routes.get().services().values()) {
+                service.engine().ifPresent(engine -> look(service.name(), engine));
+            }
+        }
+        start();
+    }
+
+    private void look(String service, EngineTerms engine) {
+        List<DirectServer> servers = context.view().servers().of(service);
+        StagePlanner planner =
+                planners.computeIfAbsent(
+                        service, key -> new StagePlanner(new StagePlan(PREFILL_SHARE)));
+        Optional<Change> change =
+                planner.decide(servers, loaded.getAsBoolean(), context.timer().nowMillis());
+        if (change.isPresent() && !ordering) {
+            ordering = true;
+            readState(planner, change.get(), engine);
+        }
+    }
+
+    private void readState(StagePlanner planner, Change change, EngineTerms engine) {
+        ServerProtocol protocol = context.platform().servers();
+        control.send(
+                change.server(),
+                protocol.readState(),
+                reply -> {
+                    Optional<EngineState> state =
+                            reply.isSuccess() ? protocol.state(reply.body()) : Optional.empty();
+                    boolean free =
+                            state.isPresent()
+                                    && !state.get().busy()
+                                    && !state.get().stage().equals(Optional.of(change.stage()));
+                    if (free) {
+                        lease.acquire(token -> order(planner, change, engine, state.get(), token));
+                    } else {
+                        ordering = false;
+                    }
+                });
+    }
+
+    private void order(
+            StagePlanner planner,
+            Change change,
+            EngineTerms engine,
+            EngineState state,
+            OptionalLong token) {
+        if (token.isEmpty()) {
+            ordering = false;
+            return;
+        }
+        control.send(
+                change.server(),
+                context.platform()
+                        .servers()
+                        .changeStage(
+                                change.stage(), holder, token.getAsLong(), state.ordersAccepted()),
+                reply -> ordered(planner, change, engine, token.getAsLong(), reply));
+    }
+
+    private void ordered(
+            StagePlanner planner, Change change, EngineTerms engine, long token, Reply reply) {
+        ordering = false;
+        EventLog.log(
+                EventCode.STAGE_ORDERED,
+                Field.of("server", change.server().id()),
+                Field.of("stage", change.stage()),
+                Field.of("fencingToken", token),
+                Field.of("status", reply.status()));
+        // Without an answer the order may still be carried out: it counts as given for its time.
+        if (reply.isSuccess() || !reply.isAnswer()) {
+            planner.ordered(change, engine.stageSwitchMillis(), context.timer().nowMillis());
+        }
+    }
+}
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -15,6 +15,8 @@
     /** Health and metrics are served. */
     HTTP_READY(1005, Level.INFO, "Health and metrics are served."),
     /** A manifest took hold. */
+    SETTINGS_RELOADED(1006, Level.INFO, "The settings file was read again and is in force."),
+    SETTINGS_REJECTED(1007, Level.ERROR, "The settings file is bad; the last good one stays."),
     MANIFEST_APPLIED(2001, Level.INFO, "A newer manifest is in force at this instance."),
     /** A manifest could not be applied. */
     MANIFEST_UNREADABLE(2002, Level.ERROR, "A newer manifest could not be read; the old stays."),
@@ -65,6 +67,9 @@
     /** Another sidecar gives the orders by now. */
     SIDECAR_REPLACED(4110, Level.WARN, "A successor drew a fencing number; no orders any more."),
     /** A request failed. */
+    LEASE_TAKEN(4201, Level.INFO, "This entry holds the lease for orders to model servers."),
+    LEASE_REFUSED(4202, Level.INFO, "Another entry holds the lease for orders."),
+    STAGE_ORDERED(4203, Level.INFO, "A model server was ordered to change its stage."),
     REQUEST_FAILED(5001, Level.INFO, "A request ended with an error."),
     /** A request was retried. */
     REQUEST_RETRIED(5002, Level.INFO, "A request goes on with another attempt."),
@@ -72,6 +77,8 @@
     CALLER_GONE(5003, Level.INFO, "The caller went away; its work is cancelled."),
     /** A request is suspected of crashing servers. */
     ATTEMPT_FAILED(5006, Level.INFO, "An attempt at a backend server failed."),
+    STREAM_STARTED(5007, Level.INFO, "A model server sent the first event of a stream."),
+    STREAM_ENDED(5008, Level.INFO, "A stream of a model server ended as complete."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     /** A suspect was refused. */
     SUSPECT_REFUSED(5005, Level.WARN, "A request that crashed two backend servers was refused."),
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectServer.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectServer.java
@@ -34,6 +34,25 @@
         DECODE
     }
 
+    /**
+     * Returns this server in another stage.
+     *
+     * @param other the other stage
+     * @return the same server otherwise
+     */
+    public DirectServer withStage(Stage other) {
+        return new DirectServer(
+                id,
+                startedEpochMillis,
+                service,
+                address,
+                zone,
+                slots,
+                draining,
+                Optional.of(other),
+                coldMillis);
+    }
+
     /**
      * Names this incarnation of the server.
      *
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventBoundary.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventBoundary.java
@@ -17,7 +17,7 @@
 
     private byte[] rest = new byte[0];
     private OptionalLong lastId = OptionalLong.empty();
-    private boolean seen;
+    private int events;
 
     /**
      * Takes bytes as they arrive.
@@ -34,7 +34,7 @@
             return Optional.empty();
         }
         byte[] whole = Arrays.copyOf(joined, end);
-        seen = true;
+        events += countEnds(whole);
         noteId(whole);
         return Optional.of(whole);
     }
@@ -59,7 +59,16 @@
      * @return true after the first
      */
     public boolean hasEvents() {
-        return seen;
+        return events > 0;
+    }
+
+    /**
+     * Counts the whole events.
+     *
+     * @return how many were seen
+     */
+    public int events() {
+        return events;
     }
 
     /**
@@ -86,6 +95,16 @@
         return 0;
     }
 
+    private static int countEnds(byte[] whole) {
+        int ends = 0;
+        for (int i = 1; i < whole.length; i++) {
+            boolean empty =
+                    whole[i - 1] == '\n' || (whole[i - 1] == '\r' && i > 1 && whole[i - 2] == '\n');
+            ends += whole[i] == '\n' && empty ? 1 : 0;
+        }
+        return ends;
+    }
+
     private void noteId(byte[] whole) {
         for (String line : new String(whole, StandardCharsets.UTF_8).split("\n")) {
             if (line.startsWith(ID_FIELD)) {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/FirstEventTimes.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/FirstEventTimes.java
@@ -12,8 +12,14 @@
  */
 public final class FirstEventTimes {
 
-    /** Time from reservation to first event before any was measured. */
-    private static final double FIRST_ESTIMATE_MILLIS = 250;
+    /** Time from reservation to first event besides the prompt, before any was measured. */
+    private static final double FIRST_ESTIMATE_MILLIS = 80;
+
+    /** Time for a prompt token before any was measured: a loaded prefill server. */
+    private static final double FIRST_MILLIS_PER_TOKEN = 0.05;
+
+    /** Deviations kept as a margin: a request that is only just late has cost a whole place. */
+    private static final double MARGIN_DEVIATIONS = 1.5;
 
     /** Weight of the newest sample: about the last ten requests count. */
     private static final double SAMPLE_WEIGHT = 0.1;
@@ -25,7 +31,8 @@
     private static final long DEADLINE_NOISE_MILLIS = 50;
 
     private final Map<String, Long> longestDeadlineMillis = new HashMap<>();
-    private double serviceMillis = FIRST_ESTIMATE_MILLIS;
+    private double millisPerToken = FIRST_MILLIS_PER_TOKEN;
+    private double deviationMillis = FIRST_ESTIMATE_MILLIS;
 
     /**
      * Tells whether a request can no longer meet its objective.
@@ -58,10 +65,18 @@
     /**
      * Notes the time from reservation to the first event.
      *
+     * @param promptTokens the size of the prompt
      * @param millis the time
      */
-    public void firstEvent(long millis) {
-        serviceMillis += SAMPLE_WEIGHT * (millis - serviceMillis);
+    public void firstEvent(long promptTokens, long millis) {
+        double error = millis - millisPerToken * promptTokens;
+        deviationMillis += SAMPLE_WEIGHT * (Math.abs(error) - deviationMillis);
+        millisPerToken += SAMPLE_WEIGHT * error / Math.max(1, promptTokens);
+    }
+
+    private double serviceMillis(CallerTerms terms) {
+        long tokens = terms.model().map(CallerTerms.ModelDemand::promptTokens).orElse(0L);
+        return millisPerToken * tokens + MARGIN_DEVIATIONS * deviationMillis;
     }
 
     private long leftMillis(DirectRoute route, CallerTerms terms, long sinceArrivalMillis) {
@@ -74,6 +89,6 @@
         return route.targetLatencyMillis()
                 - earlierMillis
                 - sinceArrivalMillis
-                - (long) serviceMillis;
+                - (long) serviceMillis(terms);
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
@@ -14,6 +14,9 @@
  */
 public final class StagePlan {
 
+    /** Below this a service has no room for two stages. */
+    private static final int LEAST_SERVERS = 2;
+
     private final double prefillShare;
 
     /**
@@ -32,7 +35,7 @@
      * @return at least one, and less than all, where there are two or more
      */
     public int wantedPrefill(int servers) {
-        if (servers < 2) {
+        if (servers < LEAST_SERVERS) {
             return 0;
         }
         long rounded = Math.round(prefillShare * servers);
