Tell resets from closes, drain in time, and test the direct entry

Ruled out: the entry's own framing, since answers with a length or chunks were never passed on short.

What comes after the balancer's notice is now refused as not run, with a close.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
@@ -31,27 +32,37 @@
     private final DirectContext context;
     private final FlowFactory flows;
     private final InFlight inFlight;
+    private final BooleanSupplier closing;
 
     /** Makes the flow that fits a request. */
     interface FlowFactory {
         DirectFlow create(CallerRequest request, CallerStream caller);
     }
 
-    DirectEndpoint(DirectContext context, FlowFactory flows, InFlight inFlight) {
+    DirectEndpoint(
+            DirectContext context, FlowFactory flows, InFlight inFlight, BooleanSupplier closing) {
         this.context = context;
         this.flows = flows;
         this.inFlight = inFlight;
+        this.closing = closing;
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedMillis = context.timer().nowMillis();
         Optional<RouteTable> routes = context.view().routes();
+        if (closing.getAsBoolean()) {
+            RequestFailure failure =
+                    RequestFailure.notRun(ErrorCode.DRAINING, "the instance is shutting down");
+            ErrorBody.writeWithFractions(response, failure.retryAfter(0), callback);
+            return true;
+        }
         if (routes.isEmpty()) {
             RequestFailure failure =
                     RequestFailure.notRun(
                             ErrorCode.NO_MANIFEST, "no routing configuration has been read yet");
-            ErrorBody.write(response, failure.retryAfter(STARTING_RETRY_MILLIS), callback);
+            ErrorBody.writeWithFractions(
+                    response, failure.retryAfter(STARTING_RETRY_MILLIS), callback);
             return true;
         }
         Optional<DirectRoute> route =
@@ -141,7 +152,8 @@
                         request,
                         response,
                         callback,
-                        () -> context.loop().execute(() -> gone(flow)));
+                        () -> context.loop().execute(() -> gone(flow)),
+                        ErrorBody::writeWithFractions);
         context.onLoop(
                 () -> {
                     flow.set(flows.create(read, caller));
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -76,6 +76,7 @@
     private final DirectFlows flows;
     private final StageCoordinator coordinator;
     private volatile boolean leaving;
+    private volatile boolean closing;
 
     DirectEntry(DirectSettings first, HostingPlatform platform, Path file) {
         settings = new SettingsWatcher(file, first);
@@ -107,7 +108,8 @@
         }
         callers.setHandler(
                 new EndpointChain(
-                        List.of(new DirectEndpoint(context, flows, inFlight)), () -> leaving));
+                        List.of(new DirectEndpoint(context, flows, inFlight, () -> closing)),
+                        () -> leaving));
         control.setHandler(
                 new EndpointChain(
                         List.of(
@@ -155,6 +157,8 @@
         leaving = true;
         // The balancer goes on sending until it has seen "not ready" twice.
         Thread.sleep(Math.min(BALANCER_NOTICE_MILLIS, settings.get().graceMillis() / 2));
+        // What comes now on connections kept from before could not end within the grace.
+        closing = true;
         try {
             inFlight.idle().get(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
         } catch (TimeoutException e) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StoreFollower.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StoreFollower.java
@@ -132,6 +132,9 @@
     }
 
     private void retry(StoreFailure failure, Runnable next) {
+        if (closed) {
+            return;
+        }
         boolean away = failure.kind() == StoreFailure.Kind.UNAVAILABLE;
         if (away && failures++ == 0) {
             EventLog.log(
@@ -179,6 +182,9 @@
     }
 
     private Void unexpected(Throwable cause) {
+        if (closed) {
+            return null;
+        }
         EventLog.unexpected("store follower", cause);
         retry(
                 new StoreFailure(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttp.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttp.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.ProxyAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.RedirectProtocolHandler;
 import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 
 /** Makes the HTTP client with which a sidecar speaks to its backend server. */
@@ -21,7 +22,8 @@
      * @return the client, not started
      */
     public static HttpClient newClient() {
-        HttpClient client = new HttpClient();
+        HttpClient client =
+                new HttpClient(new HttpClientTransportOverHTTP(new ResetAwareConnector()));
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
         client.setFollowRedirects(false);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
@@ -22,6 +22,7 @@
 
     private static final long MAXIMUM_QUEUED_BYTES = 32L << 20;
 
+    private final ErrorWriter errors;
     private final Response response;
     private final Callback callback;
     private final Runnable onGone;
@@ -45,6 +46,25 @@
      * @param onGone hears that the caller went away; may come on any thread
      */
     public CallerStream(Request request, Response response, Callback callback, Runnable onGone) {
+        this(request, response, callback, onGone, ErrorBody::write);
+    }
+
+    /**
+     * Opens the answer with another form of errors.
+     *
+     * @param request a request whose body has been read
+     * @param response its response
+     * @param callback completed when the answer is complete or broken
+     * @param onGone hears that the caller went away; may come on any thread
+     * @param errors writes errors
+     */
+    public CallerStream(
+            Request request,
+            Response response,
+            Callback callback,
+            Runnable onGone,
+            ErrorWriter errors) {
+        this.errors = errors;
         this.response = response;
         this.callback = callback;
         this.onGone = onGone;
@@ -144,7 +164,7 @@
             watch.stop();
             // Headers that were only set have not gone to the caller yet.
             settled.forEach(field -> response.getHeaders().remove(field.getName()));
-            ErrorBody.write(response, failure, callback);
+            errors.write(response, failure, callback);
         } else {
             broken(new IOException("incomplete answer: " + failure.message()));
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ErrorBody.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ErrorBody.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonObject;
 import dev.foxtailshed.kernel.RequestFailure;
+import java.math.BigDecimal;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
@@ -15,6 +16,7 @@
     public static final String VERDICT_HEADER = "X-Foxtailshed-Verdict";
 
     private static final long MILLIS_PER_SECOND = 1_000;
+    private static final int MILLI_DIGITS = 3;
 
     private ErrorBody() {}
 
@@ -90,6 +92,30 @@
         response.write(true, ByteBuffer.wrap(bytes), callback);
     }
 
+    /**
+     * Writes an error whose Retry-After header may have fractions of a second, for callers that
+     * understand these.
+     *
+     * @param response the response
+     * @param failure the error
+     * @param callback completed when it is written
+     */
+    public static void writeWithFractions(
+            Response response, RequestFailure failure, Callback callback) {
+        failure.retryAfterMillis()
+                .ifPresent(
+                        millis ->
+                                response.getHeaders()
+                                        .put(HttpHeader.RETRY_AFTER, fractionalSeconds(millis)));
+        response.setStatus(failure.code().httpStatus());
+        response.getHeaders().put(VERDICT_HEADER, failure.verdict().label());
+        writeJson(response, envelope(failure), callback);
+    }
+
+    private static String fractionalSeconds(long millis) {
+        return BigDecimal.valueOf(millis, MILLI_DIGITS).toPlainString();
+    }
+
     private static String retryAfterSeconds(long millis) {
         return Long.toString((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
     }
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ResetAwareConnector.java
@@ -0,0 +1,60 @@
+package dev.foxtailshed.daemon.internal.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Connects to servers and tells a reset from an orderly close.
+ *
+ * <p>Jetty's own end point reads a reset as the end of the input, so an answer without a length
+ * that was reset on the way would look complete.
+ */
+final class ResetAwareConnector extends ClientConnector {
+
+    @Override
+    protected EndPoint newEndPoint(
+            SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+
+    /** An end point whose reads fail on a reset. */
+    private static final class ResetAwareEndPoint extends SocketChannelEndPoint {
+
+        ResetAwareEndPoint(
+                SocketChannel channel,
+                ManagedSelector selector,
+                SelectionKey key,
+                Scheduler scheduler) {
+            super(channel, selector, key, scheduler);
+        }
+
+        @Override
+        public int fill(ByteBuffer buffer) throws IOException {
+            if (isInputShutdown()) {
+                return -1;
+            }
+            int position = BufferUtil.flipToFill(buffer);
+            int filled;
+            try {
+                filled = getChannel().read(buffer);
+            } finally {
+                BufferUtil.flipToFlush(buffer, position);
+            }
+            if (filled > 0) {
+                notIdle();
+            } else if (filled < 0) {
+                shutdownInput();
+            }
+            return filled;
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/RepeatBudgetTest.java
@@ -0,0 +1,43 @@
+package dev.foxtailshed.kernel.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests that no window holds more repeats than the deployment allows. */
+class RepeatBudgetTest {
+
+    private static final long WINDOW_MILLIS = 10_000;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void noWindowExceedsTheAllowance(long seed) {
+        Random random = new Random(seed);
+        RepeatBudget budget = new RepeatBudget(0.2, 10, WINDOW_MILLIS);
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        for (long now = 0; now < 60_000; now += 1 + random.nextInt(40)) {
+            // A retry storm: every request wants three repeats, then calm.
+            budget.request(now);
+            requests.add(now);
+            for (int i = 0; i < (now < 30_000 ? 3 : 0); i++) {
+                if (budget.tryRepeat(now)) {
+                    repeats.add(now);
+                }
+            }
+        }
+        for (long end : repeats) {
+            assertThat((double) count(repeats, end))
+                    .isLessThanOrEqualTo(0.2 * count(requests, end) + 10);
+        }
+        assertThat(repeats).isNotEmpty();
+    }
+
+    private static long count(List<Long> times, long end) {
+        return times.stream().filter(t -> t > end - WINDOW_MILLIS && t <= end).count();
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/ServerDirectoryTest.java
@@ -0,0 +1,98 @@
+package dev.foxtailshed.kernel.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests which servers may get new requests while the store's view changes, lags or is away. */
+class ServerDirectoryTest {
+
+    private final DirectServer first = Servers.plain("i-1", "a");
+    private final DirectServer second = Servers.plain("i-2", "b");
+    private final ServerDirectory directory = new ServerDirectory();
+
+    @BeforeEach
+    void listBoth() {
+        directory.replaceAll(List.of(first, second), 0);
+    }
+
+    @Test
+    void drainingServerGetsNothingNewAndStaysOutAfterAnOlderRead() {
+        directory.update(Servers.draining(first));
+        assertThat(directory.usable()).containsExactly(second);
+
+        directory.replaceAll(List.of(first, second), 10);
+
+        assertThat(directory.usable()).containsExactly(second);
+    }
+
+    @Test
+    void removedServerIsOutAtOnceAndComesBackOnlyAsAnotherIncarnation() {
+        directory.removed(first.id(), 10);
+        assertThat(directory.usable()).containsExactly(second);
+
+        directory.update(first);
+        assertThat(directory.usable()).containsExactly(second);
+
+        DirectServer restarted = Servers.restarted(first);
+        directory.update(restarted);
+        assertThat(directory.usable()).containsExactly(restarted, second);
+    }
+
+    @Test
+    void entryOfAnEarlierIncarnationIsIgnored() {
+        DirectServer restarted = Servers.restarted(first);
+        directory.update(restarted);
+
+        directory.update(Servers.draining(first));
+
+        assertThat(directory.usable()).containsExactly(restarted, second);
+    }
+
+    @Test
+    void lapsedEntryKeepsItsServerUntilTheGraceAfterTheReturnHasPassed() {
+        directory.storeLost();
+        directory.storeReturned(1_000);
+        directory.replaceAll(List.of(second), 1_000);
+        assertThat(directory.usable()).containsExactly(first, second);
+
+        assertThat(directory.expireMissing(1_000 + ServerDirectory.RETURN_GRACE_MILLIS - 1))
+                .isEmpty();
+        assertThat(directory.expireMissing(1_000 + ServerDirectory.RETURN_GRACE_MILLIS))
+                .containsExactly(first);
+        assertThat(directory.usable()).containsExactly(second);
+    }
+
+    @Test
+    void lapsedEntryThatComesBackInTimeStays() {
+        directory.storeLost();
+        directory.storeReturned(1_000);
+        directory.replaceAll(List.of(second), 1_000);
+
+        directory.update(first);
+
+        assertThat(directory.expireMissing(10_000)).isEmpty();
+        assertThat(directory.usable()).containsExactly(first, second);
+    }
+
+    @Test
+    void serverThatWasDrainingGetsNoGrace() {
+        directory.update(Servers.draining(first));
+        directory.storeLost();
+        directory.storeReturned(1_000);
+        directory.replaceAll(List.of(second), 1_000);
+
+        assertThat(directory.usable()).containsExactly(second);
+    }
+
+    @Test
+    void removalLongAfterTheReturnBindsAtOnce() {
+        directory.storeLost();
+        directory.storeReturned(1_000);
+        directory.removed(first.id(), 1_001 + ServerDirectory.RETURN_GRACE_MILLIS);
+
+        assertThat(directory.usable()).containsExactly(second);
+    }
+}
