--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -101,6 +101,7 @@
             Optional<DirectServer> server =
                     capacity.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
+                line.first(nowMillis).ifPresent(this::readAhead);
                 return;
             }
             Waiter<ModelFlow> waiter = line.first(nowMillis).get();
@@ -109,6 +110,13 @@
         }
     }
 
+    /** Uses the wait of the first in the line to have its prompt read. */
+    private void readAhead(Waiter<ModelFlow> first) {
+        if (!first.isLate()) {
+            first.item().readAhead(first, line.grantIntervalMillis());
+        }
+    }
+
     private void ask(Waiter<ModelFlow> waiter, DirectServer server) {
         ModelFlow flow = waiter.item();
         long tokens = flow.tokensToReserve();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -48,7 +48,8 @@
             SharedStore store,
             TimerService timer,
             Executor executor,
-            DoubleSupplier random) {
+            DoubleSupplier random,
+            PeerExchange peers) {
         this.platform = platform;
         this.timer = timer;
         this.executor = executor;
@@ -59,7 +60,8 @@
                         new RouteListener(),
                         timer,
                         executor,
-                        random);
+                        random,
+                        peers);
         serverFollower =
                 new StoreFollower(
                         store,
@@ -67,7 +69,8 @@
                         new ServerListener(),
                         timer,
                         executor,
-                        random);
+                        random,
+                        peers);
     }
 
     void start() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -21,8 +21,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -57,8 +59,8 @@
     /** Part of the grace that is kept for the end of the process. */
     private static final long EXIT_MARGIN_MILLIS = 700;
 
-    /** Share of the reserve for repeats that this entry uses, for deployments of some entries. */
-    private static final double RESERVE_SHARE = 0.2;
+    /** Entries assumed while their number is unknown: more than most deployments have. */
+    private static final int ASSUMED_ENTRIES = 20;
 
     /** The name of the lease for orders to model servers in the store. */
     private static final String ORDER_LEASE = "stage-orders";
@@ -73,6 +75,7 @@
     private final Server control = new Server(threads);
     private final ServerConnector connector;
     private final DeploymentView view;
+    private final EntryMembership membership;
     private final DirectFlows flows;
     private final StageCoordinator coordinator;
     private volatile boolean leaving;
@@ -86,7 +89,9 @@
                 platform.openStore(
                         httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
         SerialExecutor loop = new SerialExecutor(threads);
-        view = new DeploymentView(platform, store, timer, loop, random);
+        membership = new EntryMembership(store, first, timer, loop);
+        PeerExchange peers = new PeerExchange(httpClient, this::peers, random);
+        view = new DeploymentView(platform, store, timer, loop, random, peers);
         DirectContext context =
                 new DirectContext(
                         platform,
@@ -114,6 +119,7 @@
                 new EndpointChain(
                         List.of(
                                 new ReadinessEndpoint(this::isReady),
+                                peers,
                                 new MetricsEndpoint(registry)),
                         () -> leaving));
         callers.setErrorHandler(new JsonErrorHandler());
@@ -129,6 +135,7 @@
             httpClient.start();
             BackendHttp.passContentOn(httpClient);
             view.start();
+            membership.start();
             flows.start();
             coordinator.start();
             settings.start(timer);
@@ -171,6 +178,14 @@
         stop();
     }
 
+    /** The addresses of peers: those of the settings, and all that the store has told of. */
+    private List<InetSocketAddress> peers() {
+        Set<InetSocketAddress> all = new LinkedHashSet<>(settings.get().peers());
+        all.addAll(membership.others());
+        all.remove(settings.get().controlAddress());
+        return List.copyOf(all);
+    }
+
     private StageCoordinator newCoordinator(
             DirectContext context, SharedStore store, DirectSettings first) {
         OrderLease lease =
@@ -186,7 +201,7 @@
     private RepeatBudget newBudget() {
         return new RepeatBudget(
                 settings.get().repeatRatio(),
-                settings.get().repeatReserve() * RESERVE_SHARE,
+                () -> settings.get().repeatReserve() / membership.count().orElse(ASSUMED_ENTRIES),
                 settings.get().repeatWindowMillis());
     }
 
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
@@ -0,0 +1,161 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import com.google.gson.JsonObject;
+import dev.foxtailshed.daemon.hosting.SharedStore;
+import dev.foxtailshed.daemon.hosting.SharedStore.Page;
+import dev.foxtailshed.daemon.hosting.StoreCollection;
+import dev.foxtailshed.daemon.hosting.StoreEntry;
+import dev.foxtailshed.daemon.hosting.StoreFailure;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.settings.SettingParsers;
+import dev.foxtailshed.kernel.TimerService;
+import dev.foxtailshed.kernel.direct.LivenessByRevision;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Tells which entries there are, from what each writes of itself into the store.
+ *
+ * <p>Each entry refreshes its record now and then; one that stays unchanged for several of these
+ * times counts as gone. The calls are few, since the answer only sets shares and finds peers. Runs
+ * on the executor; snapshots can be read from any thread.
+ */
+final class EntryMembership {
+
+    /** Time between two refreshes and reads; shares may lag by this. */
+    private static final long PERIOD_MILLIS = 10_000;
+
+    /** Delay of the first read, in which the other entries of a starting deployment register. */
+    private static final long FIRST_READ_MILLIS = 500;
+
+    private static final String ADDRESS = "address";
+    private static final String ZONE = "zone";
+    private static final String REFRESHES = "refreshes";
+
+    private final SharedStore store;
+    private final DirectSettings settings;
+    private final TimerService timer;
+    private final Executor executor;
+    private final LivenessByRevision liveness = new LivenessByRevision(4 * PERIOD_MILLIS);
+    private final AtomicReference<List<InetSocketAddress>> others =
+            new AtomicReference<>(List.of());
+    private final AtomicReference<Optional<Integer>> count =
+            new AtomicReference<>(Optional.empty());
+    private long refreshes;
+
+    EntryMembership(
+            SharedStore store, DirectSettings settings, TimerService timer, Executor executor) {
+        this.store = store;
+        this.settings = settings;
+        this.timer = timer;
+        this.executor = executor;
+    }
+
+    void start() {
+        executor.execute(this::refresh);
+        timer.once(FIRST_READ_MILLIS, () -> executor.execute(() -> read("", new ArrayList<>())));
+        timer.every(
+                PERIOD_MILLIS,
+                () ->
+                        executor.execute(
+                                () -> {
+                                    refresh();
+                                    read("", new ArrayList<>());
+                                }));
+    }
+
+    /** Returns how many entries there are, if that is known. */
+    Optional<Integer> count() {
+        return count.get();
+    }
+
+    /** Returns the control addresses of the other entries. */
+    List<InetSocketAddress> others() {
+        return others.get();
+    }
+
+    private void refresh() {
+        store.get(StoreCollection.ENTRIES, settings.instance())
+                .thenAcceptAsync(this::write, executor);
+    }
+
+    private void write(Either<StoreFailure, Optional<StoreEntry>> read) {
+        if (read.isLeft()) {
+            // The follower logs that the store is away; the next period refreshes.
+            return;
+        }
+        JsonObject body = new JsonObject();
+        body.addProperty(ADDRESS, SettingParsers.text(settings.controlAddress()));
+        body.addProperty(ZONE, settings.zone());
+        body.addProperty(REFRESHES, ++refreshes);
+        read.get()
+                .map(entry -> store.replace(StoreCollection.ENTRIES, entry, body))
+                .orElseGet(() -> store.create(StoreCollection.ENTRIES, settings.instance(), body))
+                .thenAccept(
+                        written -> {
+                            if (written.isLeft()) {
+                                EventLog.log(
+                                        EventCode.MEMBERSHIP_NOT_WRITTEN,
+                                        Field.of("cause", written.getLeft().message()));
+                            }
+                        });
+    }
+
+    private void read(String after, List<StoreEntry> entries) {
+        store.list(StoreCollection.ENTRIES, after)
+                .thenAcceptAsync(page -> onPage(page, entries), executor);
+    }
+
+    private void onPage(Either<StoreFailure, Page> read, List<StoreEntry> entries) {
+        if (read.isLeft()) {
+            // The last known members stay; a smaller share than needed does no harm.
+            return;
+        }
+        List<StoreEntry> page = read.get().entries();
+        entries.addAll(page);
+        if (read.get().truncated() && !page.isEmpty()) {
+            read(page.get(page.size() - 1).name(), entries);
+            return;
+        }
+        publish(entries);
+    }
+
+    private void publish(List<StoreEntry> entries) {
+        Map<String, Long> revisions = new HashMap<>();
+        entries.forEach(entry -> revisions.put(entry.name(), entry.revision()));
+        List<String> live = liveness.live(revisions, timer.nowMillis());
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (StoreEntry entry : entries) {
+            if (live.contains(entry.name()) && !entry.name().equals(settings.instance())) {
+                addressOf(entry).ifPresent(addresses::add);
+            }
+        }
+        others.set(List.copyOf(addresses));
+        Optional<Integer> before = count.getAndSet(Optional.of(Math.max(1, live.size())));
+        if (!before.equals(count.get())) {
+            EventLog.log(EventCode.MEMBERSHIP_CHANGED, Field.of("entries", live.size()));
+        }
+    }
+
+    private static Optional<InetSocketAddress> addressOf(StoreEntry entry) {
+        try {
+            return Optional.of(SettingParsers.address(entry.body().get(ADDRESS).getAsString()));
+        } catch (RuntimeException e) {
+            EventLog.log(
+                    EventCode.STORE_ENTRY_UNREADABLE,
+                    Field.of("collection", StoreCollection.ENTRIES),
+                    Field.of("entry", entry.name()),
+                    Field.of("cause", e));
+            return Optional.empty();
+        }
+    }
+}
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -86,6 +86,23 @@
         return service.reservationMillis();
     }
 
+    /** Has the prompt read while the flow waits, if its capacity should come in time. */
+    void readAhead(Waiter<ModelFlow> place, long expectedWaitMillis) {
+        boolean idle = prefill.isEmpty() && cached.isEmpty() && prefills == 0 && !resuming;
+        if (idle && expectedWaitMillis < service.cacheMillis()) {
+            waiter = Optional.of(place);
+            readPrompt();
+        }
+    }
+
+    /** The cache of a prompt that was read ahead is about to lapse. */
+    private void cacheLapses(CachedPrompt prompt) {
+        if (reservation.isEmpty() && cached.equals(Optional.of(prompt))) {
+            cached = Optional.empty();
+            service.releaseCache(prompt.server(), prompt.handle());
+        }
+    }
+
     /** Its time in the line is up. */
     void waitedInVain() {
         waiter = Optional.empty();
@@ -98,7 +115,11 @@
         reservation = Optional.of(granted);
         reservationUsed = false;
         reservedMillis = context.timer().nowMillis();
-        readPrompt();
+        if (cached.isPresent()) {
+            stream();
+        } else if (prefill.isEmpty()) {
+            readPrompt();
+        }
     }
 
     private void refuse(String message) {
@@ -109,7 +130,9 @@
         Optional<DirectServer> server =
                 service.choosePrefill(prefillTried, context.timer().nowMillis());
         if (server.isEmpty()) {
-            stream();
+            if (reservation.isPresent()) {
+                stream();
+            }
             return;
         }
         boolean repeat = prefills > 0;
@@ -135,7 +158,14 @@
             cached = Optional.of(new CachedPrompt(server, handle.get()));
             prefilledMillis = context.timer().nowMillis();
             prefillServer = server.id();
-            stream();
+            if (reservation.isPresent()) {
+                stream();
+            } else {
+                waitForCapacity(cached.get());
+            }
+        } else if (reservation.isEmpty()) {
+            // Read ahead in vain; with capacity the prompt is read by another server.
+            prefillServer = "none";
         } else if (remainingMillis() > 0) {
             readPrompt();
         } else {
@@ -143,6 +173,14 @@
         }
     }
 
+    private void waitForCapacity(CachedPrompt prompt) {
+        long keptMillis = service.cacheMillis();
+        long nowMillis = context.timer().nowMillis();
+        waiter.ifPresent(
+                place -> place.waitUntil(service.giveUpWithCacheMillis(request, nowMillis)));
+        context.once(keptMillis, () -> cacheLapses(prompt));
+    }
+
     private void stream() {
         Reservation held = reservation.orElseThrow();
         OptionalLong resumeAfter = resuming ? boundary.lastId() : OptionalLong.empty();
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
@@ -0,0 +1,157 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import dev.foxtailshed.daemon.hosting.JsonFields;
+import dev.foxtailshed.daemon.hosting.StoreCollection;
+import dev.foxtailshed.daemon.hosting.StoreEntry;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.http.Endpoint;
+import dev.foxtailshed.daemon.internal.http.ErrorBody;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Gives entries that the store does not serve what other entries have read from it.
+ *
+ * <p>An entry answers with what it knows and the store's revision of it; who asks takes only what
+ * is newer than its own. Thread-safe.
+ */
+final class PeerExchange implements Endpoint {
+
+    private static final String PATH = "/peer/collections/";
+    private static final String ENTRIES = "entries";
+    private static final String REVISION = "revision";
+    private static final long TIMEOUT_MILLIS = 500;
+    private static final int MAXIMUM_ANSWER_BYTES = 8 << 20;
+
+    private final HttpClient httpClient;
+    private final Supplier<List<InetSocketAddress>> peers;
+    private final DoubleSupplier random;
+    private final Map<StoreCollection, Supplier<Optional<Copy>>> served = new ConcurrentHashMap<>();
+
+    PeerExchange(
+            HttpClient httpClient, Supplier<List<InetSocketAddress>> peers, DoubleSupplier random) {
+        this.httpClient = httpClient;
+        this.peers = peers;
+        this.random = random;
+    }
+
+    /**
+     * A collection as an entry has read it.
+     *
+     * @param entries the entries
+     * @param revision the store's revision
+     */
+    record Copy(List<StoreEntry> entries, long revision) {}
+
+    /** Offers a collection to peers; empty while nothing was read. */
+    void serve(StoreCollection collection, Supplier<Optional<Copy>> copy) {
+        served.put(collection, copy);
+    }
+
+    /** Asks one peer, drawn at random, for a collection. */
+    void fetch(StoreCollection collection, Consumer<Copy> next) {
+        List<InetSocketAddress> known = peers.get();
+        if (known.isEmpty()) {
+            return;
+        }
+        InetSocketAddress peer = known.get((int) (random.getAsDouble() * known.size()));
+        httpClient
+                .newRequest(peer.getHostString(), peer.getPort())
+                .path(PATH + collection.name())
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .send(
+                        new BufferingResponseListener(MAXIMUM_ANSWER_BYTES) {
+                            @Override
+                            public void onComplete(Result result) {
+                                boolean good =
+                                        result.isSucceeded()
+                                                && result.getResponse().getStatus()
+                                                        == HttpStatus.OK_200;
+                                if (good) {
+                                    read(collection, peer, getContent()).ifPresent(next);
+                                }
+                            }
+                        });
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = Request.getPathInContext(request);
+        if (!path.startsWith(PATH)) {
+            return false;
+        }
+        Optional<Copy> copy =
+                served.entrySet().stream()
+                        .filter(entry -> path.equals(PATH + entry.getKey().name()))
+                        .findFirst()
+                        .flatMap(entry -> entry.getValue().get());
+        if (copy.isEmpty()) {
+            response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+            ErrorBody.writeJson(response, new JsonObject(), callback);
+        } else {
+            ErrorBody.writeJson(response, toJson(copy.get()), callback);
+        }
+        return true;
+    }
+
+    private static JsonObject toJson(Copy copy) {
+        JsonArray entries = new JsonArray();
+        for (StoreEntry entry : copy.entries()) {
+            JsonObject json = new JsonObject();
+            json.addProperty("name", entry.name());
+            json.addProperty(REVISION, entry.revision());
+            json.add("body", entry.body());
+            entries.add(json);
+        }
+        JsonObject root = new JsonObject();
+        root.addProperty(REVISION, copy.revision());
+        root.add(ENTRIES, entries);
+        return root;
+    }
+
+    private static Optional<Copy> read(
+            StoreCollection collection, InetSocketAddress peer, byte[] content) {
+        try {
+            String text = new String(content, StandardCharsets.UTF_8);
+            JsonFields root = JsonFields.of("", JsonParser.parseString(text));
+            List<StoreEntry> entries = new ArrayList<>();
+            for (JsonFields entry : root.objects(ENTRIES)) {
+                entries.add(
+                        new StoreEntry(
+                                entry.text("name"),
+                                entry.whole(REVISION, 0),
+                                entry.element("body").getAsJsonObject()));
+            }
+            return Optional.of(new Copy(entries, root.whole(REVISION, 0)));
+        } catch (JsonParseException | IllegalStateException | IllegalArgumentException e) {
+            EventLog.log(
+                    EventCode.PEER_UNREADABLE,
+                    Field.of("peer", peer),
+                    Field.of("collection", collection),
+                    Field.of("cause", e.getMessage()));
+            return Optional.empty();
+        }
+    }
+}
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StoreFollower.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StoreFollower.java
@@ -16,6 +16,9 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.function.DoubleSupplier;
 
@@ -40,6 +43,9 @@
     private final TimerService timer;
     private final Executor executor;
     private final DoubleSupplier random;
+    private final PeerExchange peers;
+    private final Map<String, StoreEntry> entries = new TreeMap<>();
+    private long knownRevision;
     private int failures;
     private volatile boolean closed;
 
@@ -49,7 +55,9 @@
             Listener listener,
             TimerService timer,
             Executor executor,
-            DoubleSupplier random) {
+            DoubleSupplier random,
+            PeerExchange peers) {
+        this.peers = peers;
         this.store = store;
         this.collection = collection;
         this.listener = listener;
@@ -74,6 +82,7 @@
     }
 
     void start() {
+        peers.serve(collection, this::copy);
         executor.execute(() -> listPage("", new ArrayList<>()));
     }
 
@@ -102,7 +111,7 @@
             listPage(page.entries().get(page.entries().size() - 1).name(), entries);
             return;
         }
-        listener.onList(entries, page.revision());
+        replaceAll(entries, page.revision());
         watch(page.revision());
     }
 
@@ -118,7 +127,7 @@
     private void onChanges(Either<StoreFailure, Changes> read, long revision) {
         if (read.isRight()) {
             succeeded();
-            listener.onChanges(read.get().changes(), read.get().revision());
+            change(read.get().changes(), read.get().revision());
             watch(read.get().revision());
             return;
         }
@@ -143,6 +152,9 @@
                     Field.of("cause", failure.message()));
             listener.onLost();
         }
+        if (away && failures > 1) {
+            peers.fetch(collection, copy -> executor.execute(() -> takeFromPeer(copy)));
+        }
         long delayMillis = BACKOFF.delayMillis(failures, random.getAsDouble());
         timer.once(
                 delayMillis,
@@ -155,6 +167,55 @@
                                 }));
     }
 
+    private void replaceAll(List<StoreEntry> listed, long revision) {
+        publish(
+                () -> {
+                    entries.clear();
+                    listed.forEach(entry -> entries.put(entry.name(), entry));
+                },
+                revision);
+        listener.onList(listed, revision);
+    }
+
+    private void change(List<Change> changes, long revision) {
+        publish(
+                () -> {
+                    for (Change change : changes) {
+                        if (change.removed()) {
+                            entries.remove(change.entry().name());
+                        } else {
+                            entries.put(change.entry().name(), change.entry());
+                        }
+                    }
+                },
+                revision);
+        listener.onChanges(changes, revision);
+    }
+
+    /** Takes what a peer has read, unless this entry or the store knows better by now. */
+    private void takeFromPeer(PeerExchange.Copy copy) {
+        if (failures > 0 && copy.revision() > knownRevision) {
+            EventLog.log(
+                    EventCode.PEER_ANSWERED,
+                    Field.of("collection", collection),
+                    Field.of("revision", copy.revision()),
+                    Field.of("knownRevision", knownRevision));
+            publish(() -> {}, copy.revision());
+            listener.onList(copy.entries(), copy.revision());
+        }
+    }
+
+    private synchronized void publish(Runnable update, long revision) {
+        update.run();
+        knownRevision = Math.max(knownRevision, revision);
+    }
+
+    private synchronized Optional<PeerExchange.Copy> copy() {
+        return knownRevision > 0
+                ? Optional.of(new PeerExchange.Copy(List.copyOf(entries.values()), knownRevision))
+                : Optional.empty();
+    }
+
     private void succeeded() {
         if (failures > 0) {
             EventLog.log(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/settings/SettingParsers.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/settings/SettingParsers.java
@@ -127,6 +127,16 @@
         };
     }
 
+    /**
+     * Writes an address as {@link #address} reads it.
+     *
+     * @param address the address
+     * @return IP:PORT
+     */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     private static String urlExpected(String text) {
         return "expected a URL such as http://127.0.0.1:9000, found \"" + text + "\"";
     }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RepeatBudget.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RepeatBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.DoubleSupplier;
 
 /**
  * Limits the repeats that this entry sends to one service within a sliding window.
@@ -15,7 +16,7 @@
     private static final double SAFETY = 0.7;
 
     private final double ratio;
-    private final double reserve;
+    private final DoubleSupplier reserve;
     private final long windowMillis;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
@@ -24,10 +25,10 @@
      * Creates a budget.
      *
      * @param ratio repeats allowed for each request
-     * @param reserveShare this entry's share of the fixed reserve
+     * @param reserveShare this entry's share of the fixed reserve, which follows the entries
      * @param windowMillis the length of the window
      */
-    public RepeatBudget(double ratio, double reserveShare, long windowMillis) {
+    public RepeatBudget(double ratio, DoubleSupplier reserveShare, long windowMillis) {
         this.ratio = ratio;
         this.reserve = reserveShare;
         this.windowMillis = windowMillis;
@@ -52,7 +53,7 @@
     public boolean tryRepeat(long nowMillis) {
         expire(requests, nowMillis);
         expire(repeats, nowMillis);
-        if (repeats.size() + 1 > SAFETY * (ratio * requests.size() + reserve)) {
+        if (repeats.size() + 1 > SAFETY * (ratio * requests.size() + reserve.getAsDouble())) {
             return false;
         }
         repeats.add(nowMillis);
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/WaitingLine.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/WaitingLine.java
@@ -54,7 +54,7 @@
         private final T item;
         private final int priority;
         private final boolean late;
-        private final long giveUpMillis;
+        private long giveUpMillis;
         private final long joinedMillis;
         private final long sequence;
 
@@ -73,6 +73,24 @@
             this.sequence = sequence;
         }
 
+        /**
+         * Tells whether the request had missed its objective when it joined.
+         *
+         * @return true for late requests
+         */
+        public boolean isLate() {
+            return late;
+        }
+
+        /**
+         * Lets the request wait until another time.
+         *
+         * @param millis when waiting longer is in vain
+         */
+        public void waitUntil(long millis) {
+            giveUpMillis = millis;
+        }
+
         /**
          * Returns what waits.
          *
@@ -193,6 +211,15 @@
         }
     }
 
+    /**
+     * Estimates how long the first in the line waits for its reservation.
+     *
+     * @return the usual time between two reservations
+     */
+    public long grantIntervalMillis() {
+        return (long) grantIntervalMillis;
+    }
+
     /**
      * Estimates when a refused request would find capacity.
      *
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/RepeatBudgetTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/RepeatBudgetTest.java
@@ -17,7 +17,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void noWindowExceedsTheAllowance(long seed) {
         Random random = new Random(seed);
-        RepeatBudget budget = new RepeatBudget(0.2, 10, WINDOW_MILLIS);
+        RepeatBudget budget = new RepeatBudget(0.2, () -> 10, WINDOW_MILLIS);
         List<Long> requests = new ArrayList<>();
         List<Long> repeats = new ArrayList<>();
         for (long now = 0; now < 60_000; now += 1 + random.nextInt(40)) {
