--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -1,9 +1,11 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import dev.foxtailshed.daemon.hosting.ServerProtocol;
 import dev.foxtailshed.daemon.internal.direct.EngineControl.Reply;
 import dev.foxtailshed.kernel.direct.DecodeCapacity;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.WaitingLine;
 import dev.foxtailshed.kernel.direct.WaitingLine.Waiter;
 import java.util.List;
@@ -22,6 +24,12 @@
     /** Reservations asked for at once: enough to fill an idle pool, few enough to stay in order. */
     private static final int MAXIMUM_ASKING = 4;
 
+    /**
+     * Share of a server's KV cache that late requests leave free: about two requests in time, which
+     * arrive before a stream ends.
+     */
+    private static final double SPARE_SHARE = 0.15;
+
     private final DirectContext context;
     private final EngineControl control;
     private final String service;
@@ -96,15 +104,15 @@
 
     private void pump() {
         long nowMillis = context.timer().nowMillis();
-        while (asking < MAXIMUM_ASKING && line.first(nowMillis).isPresent()) {
+        while (asking < MAXIMUM_ASKING && line.first().isPresent()) {
             List<DirectServer> servers = context.view().servers().of(service, Stage.DECODE);
             Optional<DirectServer> server =
                     capacity.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
-                line.first(nowMillis).ifPresent(this::readAhead);
+                line.first().ifPresent(this::readAhead);
                 return;
             }
-            Waiter<ModelFlow> waiter = line.first(nowMillis).get();
+            Waiter<ModelFlow> waiter = line.first().get();
             line.leave(waiter);
             ask(waiter, server.get());
         }
@@ -118,16 +126,59 @@
     }
 
     private void ask(Waiter<ModelFlow> waiter, DirectServer server) {
-        ModelFlow flow = waiter.item();
-        long tokens = flow.tokensToReserve();
         asking++;
         capacity.asking(server);
+        if (waiter.isLate()) {
+            askForSpareCapacity(waiter, server);
+        } else {
+            askFor(waiter, server);
+        }
+    }
+
+    private void askFor(Waiter<ModelFlow> waiter, DirectServer server) {
+        ModelFlow flow = waiter.item();
+        long tokens = flow.tokensToReserve();
         control.send(
                 server,
                 context.platform().servers().reserve(tokens, flow.reservationMillis()),
                 reply -> answered(waiter, server, tokens, reply));
     }
 
+    /**
+     * Asks for a late request. It gets capacity only where some is left for requests in time, so
+     * more than it needs is asked for first, and given back.
+     */
+    private void askForSpareCapacity(Waiter<ModelFlow> waiter, DirectServer server) {
+        ModelFlow flow = waiter.item();
+        ServerProtocol protocol = context.platform().servers();
+        control.send(
+                server,
+                protocol.reserve(flow.tokensToReserve() + spareTokens(), flow.reservationMillis()),
+                reply -> {
+                    Optional<String> id =
+                            reply.isSuccess()
+                                    ? protocol.reservation(reply.body())
+                                    : Optional.empty();
+                    if (id.isEmpty()) {
+                        answered(waiter, server, 0, reply);
+                        return;
+                    }
+                    control.send(
+                            server,
+                            protocol.releaseReservation(id.get()),
+                            released -> askFor(waiter, server));
+                });
+    }
+
+    private long spareTokens() {
+        return context.view()
+                .routes()
+                .flatMap(routes -> routes.service(service))
+                .flatMap(DirectService::engine)
+                .map(engine -> (long) (SPARE_SHARE * engine.kvCacheTokens()))
+                .orElse(0L);
+    }
+
     private void answered(Waiter<ModelFlow> waiter, DirectServer server, long tokens, Reply reply) {
         asking--;
         ModelFlow flow = waiter.item();
@@ -142,12 +193,11 @@
             if (flow.isFinished()) {
                 giveBack(reservation);
             } else {
-                line.granted(waiter, nowMillis);
+                line.granted(nowMillis);
                 flow.reserved(reservation);
             }
         } else {
             capacity.refused(server, nowMillis);
-            line.refused(nowMillis);
             if (!reply.isAnswer()) {
                 context.health().of(server).unanswered(nowMillis);
             }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -27,6 +27,12 @@
     /** Share of its time for which a cache is relied on; the rest covers the call that uses it. */
     private static final double CACHE_SHARE = 0.8;
 
+    /** Least time until a refused caller comes back. */
+    private static final long RETRY_MILLIS = 100;
+
+    /** Time over which callers refused together come back; a burst lasts some seconds. */
+    private static final long RETRY_SPREAD_MILLIS = 100;
+
     /** Least time that a prefill server gets before another is tried. */
     private static final long LEAST_PREFILL_MILLIS = 500;
 
@@ -121,8 +127,12 @@
         return LEAST_PREFILL_MILLIS + (long) (demand.promptTokens() / SLOWEST_TOKENS_PER_MILLI);
     }
 
-    /** When a refused caller should come back: when the line is empty, spread out. */
-    long retryAfterMillis(long spreadMillis) {
-        return reservations.drainMillis() + spreadMillis;
+    /**
+     * When a refused caller should come back. Its answer will be late in any case, so it comes
+     * after a usual burst rather than into it, and callers refused together come back apart.
+     */
+    long retryAfterMillis() {
+        double spread = RETRY_SPREAD_MILLIS * context.random().getAsDouble();
+        return Math.max(RETRY_MILLIS, reservations.drainMillis()) + (long) spread;
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/FirstEventTimes.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/FirstEventTimes.java
@@ -1,14 +1,10 @@
 package dev.foxtailshed.kernel.direct;
 
-import java.util.HashMap;
-import java.util.Map;
-
 /**
  * Tells how long a streamed request can wait for capacity and still meet its objective.
  *
- * <p>The objective counts from the caller's first attempt. A caller that comes back waits for less
- * than it did at first, so the largest deadline seen on a route tells how long ago that was. Not
- * thread-safe.
+ * <p>Callers' deadlines differ from request to request, so they do not tell whether a caller comes
+ * back; every arrival counts as a first attempt. Not thread-safe.
  */
 public final class FirstEventTimes {
 
@@ -30,10 +26,6 @@
     /** How long a late request may wait, in multiples of its objective; callers leave at four. */
     private static final long LATE_WAIT_OBJECTIVES = 2;
 
-    /** Differences in deadline below this are transit time, not an earlier attempt. */
-    private static final long DEADLINE_NOISE_MILLIS = 50;
-
-    private final Map<String, Long> longestDeadlineMillis = new HashMap<>();
     private double millisPerToken = FIRST_MILLIS_PER_TOKEN;
     private double deviationMillis = FIRST_ESTIMATE_MILLIS;
 
@@ -97,15 +89,6 @@
     }
 
     private long leftMillis(DirectRoute route, CallerTerms terms, long sinceArrivalMillis) {
-        long earlierMillis = 0;
-        if (terms.deadlineMillis().isPresent()) {
-            long deadline = terms.deadlineMillis().getAsLong();
-            long longest = longestDeadlineMillis.merge(route.name(), deadline, Math::max);
-            earlierMillis = longest - deadline > DEADLINE_NOISE_MILLIS ? longest - deadline : 0;
-        }
-        return route.targetLatencyMillis()
-                - earlierMillis
-                - sinceArrivalMillis
-                - (long) serviceMillis(terms);
+        return route.targetLatencyMillis() - sinceArrivalMillis - (long) serviceMillis(terms);
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/WaitingLine.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/WaitingLine.java
@@ -12,11 +12,7 @@
  * every request late. So those that can still meet their objective come first, by priority and then
  * by arrival; late ones follow. A request is refused on arrival when the line ahead of it takes
  * longer than it can wait, and while waiting as soon as its time is up. Size plays no part, so that
- * large requests are not overtaken for ever by small ones.
- *
- * <p>Work lasts longer than callers wait, so a late request that is let in during a burst takes the
- * place of several that could still be in time. Late ones are therefore held back until no server
- * has refused and none in time has waited for a moment. Not thread-safe.
+ * large requests are not overtaken for ever by small ones. Not thread-safe.
  *
  * @param <T> what waits
  */
@@ -28,12 +24,6 @@
     /** Intervals above this were idle time, not a full pool. */
     private static final long LONGEST_INTERVAL_MILLIS = 1_000;
 
-    /** A wait above this means that the pool is full; below it are the calls themselves. */
-    private static final long PRESSURE_WAIT_MILLIS = 100;
-
-    /** How long after pressure late requests are held back: some places free up in this time. */
-    private static final long PRESSURE_MILLIS = 400;
-
     private static final Comparator<Waiter<?>> ORDER =
             Comparator.<Waiter<?>>comparingInt(waiter -> waiter.late ? 1 : 0)
                     .thenComparingInt(waiter -> waiter.priority)
@@ -43,7 +33,6 @@
     private long nextSequence;
     private long lastGrantMillis = Long.MIN_VALUE;
     private double grantIntervalMillis;
-    private long lastPressureMillis = Long.MIN_VALUE / 2;
 
     /**
      * A request in the line.
@@ -55,21 +44,13 @@
         private final int priority;
         private final boolean late;
         private long giveUpMillis;
-        private final long joinedMillis;
         private final long sequence;
 
-        private Waiter(
-                T item,
-                int priority,
-                boolean late,
-                long giveUpMillis,
-                long joinedMillis,
-                long sequence) {
+        private Waiter(T item, int priority, boolean late, long giveUpMillis, long sequence) {
             this.item = item;
             this.priority = priority;
             this.late = late;
             this.giveUpMillis = giveUpMillis;
-            this.joinedMillis = joinedMillis;
             this.sequence = sequence;
         }
 
@@ -113,11 +94,9 @@
      */
     public Optional<Waiter<T>> join(
             T item, int priority, boolean late, long giveUpMillis, long nowMillis) {
-        Waiter<T> waiter =
-                new Waiter<>(item, priority, late, giveUpMillis, nowMillis, nextSequence++);
+        Waiter<T> waiter = new Waiter<>(item, priority, late, giveUpMillis, nextSequence++);
         long ahead = waiters.stream().filter(other -> ORDER.compare(other, waiter) < 0).count();
         if (ahead > 0 && nowMillis + ahead * grantIntervalMillis > giveUpMillis) {
-            notePressure(waiter, nowMillis);
             return Optional.empty();
         }
         waiters.add(waiter);
@@ -138,15 +117,10 @@
     /**
      * Returns the request that gets the next reservation.
      *
-     * @param nowMillis the time
-     * @return the first in the line, unless it is late and the pool is under pressure
+     * @return the first in the line
      */
-    public Optional<Waiter<T>> first(long nowMillis) {
-        return waiters.stream()
-                .findFirst()
-                .filter(
-                        waiter ->
-                                !waiter.late || nowMillis - lastPressureMillis >= PRESSURE_MILLIS);
+    public Optional<Waiter<T>> first() {
+        return waiters.stream().findFirst();
     }
 
     /**
@@ -162,13 +136,9 @@
     /**
      * Notes that a waiting request got its reservation.
      *
-     * @param waiter its place
      * @param nowMillis the time
      */
-    public void granted(Waiter<T> waiter, long nowMillis) {
-        if (nowMillis - waiter.joinedMillis > PRESSURE_WAIT_MILLIS) {
-            notePressure(waiter, nowMillis);
-        }
+    public void granted(long nowMillis) {
         long interval = nowMillis - lastGrantMillis;
         if (lastGrantMillis != Long.MIN_VALUE && interval <= LONGEST_INTERVAL_MILLIS) {
             grantIntervalMillis += SAMPLE_WEIGHT * (interval - grantIntervalMillis);
@@ -188,7 +158,6 @@
                 waiter -> {
                     boolean up = waiter.giveUpMillis <= nowMillis;
                     if (up) {
-                        notePressure(waiter, nowMillis);
                         expired.add(waiter.item);
                     }
                     return up;
@@ -196,21 +165,6 @@
         return expired;
     }
 
-    /**
-     * Notes that a server refused a reservation, which shows that the pool is full.
-     *
-     * @param nowMillis the time
-     */
-    public void refused(long nowMillis) {
-        lastPressureMillis = nowMillis;
-    }
-
-    private void notePressure(Waiter<T> waiter, long nowMillis) {
-        if (!waiter.late) {
-            lastPressureMillis = nowMillis;
-        }
-    }
-
     /**
      * Estimates how long the first in the line waits for its reservation.
      *
