--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -109,7 +109,6 @@
             Optional<DirectServer> server =
                     capacity.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
-                line.first().ifPresent(this::readAhead);
                 return;
             }
             Waiter<ModelFlow> waiter = line.first().get();
@@ -118,13 +117,6 @@
         }
     }
 
-    /** Uses the wait of the first in the line to have its prompt read. */
-    private void readAhead(Waiter<ModelFlow> first) {
-        if (!first.isLate()) {
-            first.item().readAhead(first, line.grantIntervalMillis());
-        }
-    }
-
     private void ask(Waiter<ModelFlow> waiter, DirectServer server) {
         asking++;
         capacity.asking(server);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -86,23 +86,6 @@
         return service.reservationMillis();
     }
 
-    /** Has the prompt read while the flow waits, if its capacity should come in time. */
-    void readAhead(Waiter<ModelFlow> place, long expectedWaitMillis) {
-        boolean idle = prefill.isEmpty() && cached.isEmpty() && prefills == 0 && !resuming;
-        if (idle && expectedWaitMillis < service.cacheMillis() && false) {
-            waiter = Optional.of(place);
-            readPrompt();
-        }
-    }
-
-    /** The cache of a prompt that was read ahead is about to lapse. */
-    private void cacheLapses(CachedPrompt prompt) {
-        if (reservation.isEmpty() && cached.equals(Optional.of(prompt))) {
-            cached = Optional.empty();
-            service.releaseCache(prompt.server(), prompt.handle());
-        }
-    }
-
     /** Its time in the line is up. */
     void waitedInVain() {
         waiter = Optional.empty();
@@ -115,11 +98,7 @@
         reservation = Optional.of(granted);
         reservationUsed = false;
         reservedMillis = context.timer().nowMillis();
-        if (cached.isPresent()) {
-            stream();
-        } else if (prefill.isEmpty()) {
-            readPrompt();
-        }
+        readPrompt();
     }
 
     private void refuse(String message) {
@@ -130,9 +109,7 @@
         Optional<DirectServer> server =
                 service.choosePrefill(prefillTried, context.timer().nowMillis());
         if (server.isEmpty()) {
-            if (reservation.isPresent()) {
-                stream();
-            }
+            stream();
             return;
         }
         boolean repeat = prefills > 0;
@@ -158,14 +135,7 @@
             cached = Optional.of(new CachedPrompt(server, handle.get()));
             prefilledMillis = context.timer().nowMillis();
             prefillServer = server.id();
-            if (reservation.isPresent()) {
-                stream();
-            } else {
-                waitForCapacity(cached.get());
-            }
-        } else if (reservation.isEmpty()) {
-            // Read ahead in vain; with capacity the prompt is read by another server.
-            prefillServer = "none";
+            stream();
         } else if (remainingMillis() > 0) {
             readPrompt();
         } else {
@@ -173,14 +143,6 @@
         }
     }
 
-    private void waitForCapacity(CachedPrompt prompt) {
-        long keptMillis = service.cacheMillis();
-        long nowMillis = context.timer().nowMillis();
-        waiter.ifPresent(
-                place -> place.waitUntil(service.giveUpWithCacheMillis(request, nowMillis)));
-        context.once(keptMillis, () -> cacheLapses(prompt));
-    }
-
     private void stream() {
         Reservation held = reservation.orElseThrow();
         OptionalLong resumeAfter = resuming ? boundary.lastId() : OptionalLong.empty();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -24,15 +24,6 @@
     /** Slowest prompt reading that is waited for, in tokens a millisecond. */
     private static final double SLOWEST_TOKENS_PER_MILLI = 4;
 
-    /** Share of its time for which a cache is relied on; the rest covers the call that uses it. */
-    private static final double CACHE_SHARE = 0.8;
-
-    /** Least time until a refused caller comes back. */
-    private static final long RETRY_MILLIS = 100;
-
-    /** Time over which callers refused together come back; a burst lasts some seconds. */
-    private static final long RETRY_SPREAD_MILLIS = 100;
-
     /** Least time that a prefill server gets before another is tried. */
     private static final long LEAST_PREFILL_MILLIS = 500;
 
@@ -92,24 +83,6 @@
         return Math.min(nowMillis + limit, request.deadlineMillis());
     }
 
-    /** Tells until when a request may wait whose prompt has been read. */
-    long giveUpWithCacheMillis(CallerRequest request, long nowMillis) {
-        long limit =
-                times.waitLimitWithCacheMillis(
-                        request.route(), request.terms(), nowMillis - request.arrivedMillis());
-        return Math.min(nowMillis + limit, request.deadlineMillis());
-    }
-
-    /** How long the cache of a prompt can be relied on after it was read. */
-    long cacheMillis() {
-        return context.view()
-                .routes()
-                .flatMap(routes -> routes.service(name))
-                .flatMap(service -> service.engine())
-                .map(engine -> (long) (CACHE_SHARE * engine.handleTtlMillis()))
-                .orElse(0L);
-    }
-
     void firstEvent(ModelDemand demand, long sinceReservationMillis) {
         times.firstEvent(demand.promptTokens(), sinceReservationMillis);
     }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/FirstEventTimes.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/FirstEventTimes.java
@@ -17,9 +17,6 @@
     /** Deviations kept as a margin: a request that is only just late has cost a whole place. */
     private static final double MARGIN_DEVIATIONS = 1.5;
 
-    /** Time from sending a request with its cache to the first event, with some margin. */
-    private static final long FIRST_STEP_MILLIS = 80;
-
     /** Weight of the newest sample: about the last ten requests count. */
     private static final double SAMPLE_WEIGHT = 0.1;
 
@@ -57,20 +54,6 @@
                 : Math.max(0, leftMillis(route, terms, sinceArrivalMillis));
     }
 
-    /**
-     * Tells how long a request may wait for capacity when its prompt has been read.
-     *
-     * @param route its route
-     * @param terms what the caller says
-     * @param sinceArrivalMillis the time since it arrived
-     * @return the limit from now
-     */
-    public long waitLimitWithCacheMillis(
-            DirectRoute route, CallerTerms terms, long sinceArrivalMillis) {
-        long left = leftMillis(route, terms, sinceArrivalMillis) + (long) serviceMillis(terms);
-        return Math.max(0, left - FIRST_STEP_MILLIS);
-    }
-
     /**
      * Notes the time from reservation to the first event.
      *
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/WaitingLine.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/WaitingLine.java
@@ -43,7 +43,7 @@
         private final T item;
         private final int priority;
         private final boolean late;
-        private long giveUpMillis;
+        private final long giveUpMillis;
         private final long sequence;
 
         private Waiter(T item, int priority, boolean late, long giveUpMillis, long sequence) {
@@ -63,15 +63,6 @@
             return late;
         }
 
-        /**
-         * Lets the request wait until another time.
-         *
-         * @param millis when waiting longer is in vain
-         */
-        public void waitUntil(long millis) {
-            giveUpMillis = millis;
-        }
-
         /**
          * Returns what waits.
          *
@@ -165,15 +156,6 @@
         return expired;
     }
 
-    /**
-     * Estimates how long the first in the line waits for its reservation.
-     *
-     * @return the usual time between two reservations
-     */
-    public long grantIntervalMillis() {
-        return (long) grantIntervalMillis;
-    }
-
     /**
      * Estimates when a refused request would find capacity.
      *
