--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -24,6 +24,12 @@
     /** Slowest prompt reading that is waited for, in tokens a millisecond. */
     private static final double SLOWEST_TOKENS_PER_MILLI = 4;
 
+    /** Least time until a refused caller comes back: its answer is late in any case by then. */
+    private static final long RETRY_MILLIS = 500;
+
+    /** Time over which callers refused together come back, so that they do not clump. */
+    private static final long RETRY_SPREAD_MILLIS = 1_000;
+
     /** Least time that a prefill server gets before another is tried. */
     private static final long LEAST_PREFILL_MILLIS = 500;
 
