Leave prefill servers with lapsing handles alone, bound the logs, explain requests

Requests for one server were refused although nothing of them had run.

Change: PrefillSelector leaves a server alone after a lapse, for longer each time; a refused request for one server is read again for the same server. Prefill servers get 1.5 s before another is tried, since a loaded one was taken for a silent one. JSON lines go to standard output on a thread of their own, bounded, with losses told; each event has a limit by second. `foxtailshed explain` tells a request's story from log files.

--- a/cli/src/main/resources/META-INF/services/dev.foxtailshed.cli.internal.Command
+++ b/cli/src/main/resources/META-INF/services/dev.foxtailshed.cli.internal.Command
@@ -8,3 +8,4 @@
 dev.foxtailshed.cli.internal.AuditTrailCommand
 dev.foxtailshed.cli.internal.AuditVerifyCommand
 dev.foxtailshed.cli.internal.AuditShowCommand
+dev.foxtailshed.cli.internal.ExplainCommand
--- a/daemon/src/main/java/dev/foxtailshed/daemon/Foxtailshedd.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/Foxtailshedd.java
@@ -3,6 +3,7 @@
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.events.JsonConsoleWriter;
 import dev.foxtailshed.daemon.internal.events.LogSettings;
 import dev.foxtailshed.daemon.internal.role.Role;
 import dev.foxtailshed.daemon.internal.role.RunningRole;
@@ -108,6 +109,7 @@
             status = EXIT_FAILURE;
         }
         EventLog.log(EventCode.STOPPED, Field.of("role", role.name()));
+        JsonConsoleWriter.flushLines();
         // Without the halt, the JVM would report the signal as its exit status.
         Runtime.getRuntime().halt(status);
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -68,6 +68,34 @@
         line.leave(waiter);
     }
 
+    /** Reserves at the server that has refused the request, as no other one may get it. */
+    void reserveAgain(ModelFlow flow, DirectServer server) {
+        long tokens = flow.tokensToReserve();
+        control.send(
+                server,
+                context.platform().servers().reserve(tokens, flow.reservationMillis()),
+                reply -> {
+                    Optional<String> id =
+                            reply.isSuccess()
+                                    ? context.platform().servers().reservation(reply.body())
+                                    : Optional.empty();
+                    if (id.isEmpty()) {
+                        flow.waitedInVain();
+                        return;
+                    }
+                    capacity.reserved(server, tokens);
+                    grant(flow, new Reservation(server, id.get(), tokens));
+                });
+    }
+
+    private void grant(ModelFlow flow, Reservation reservation) {
+        if (flow.isFinished()) {
+            giveBack(reservation);
+        } else {
+            flow.reserved(reservation);
+        }
+    }
+
     /** Gives an unused reservation back. */
     void giveBack(Reservation reservation) {
         capacity.released(reservation.server(), reservation.tokens());
@@ -182,12 +210,10 @@
         if (id.isPresent()) {
             capacity.reserved(server, tokens);
             Reservation reservation = new Reservation(server, id.get(), tokens);
-            if (flow.isFinished()) {
-                giveBack(reservation);
-            } else {
+            if (!flow.isFinished()) {
                 line.granted(nowMillis);
-                flow.reserved(reservation);
             }
+            grant(flow, reservation);
         } else {
             capacity.refused(server, nowMillis);
             if (!reply.isAnswer()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -82,6 +82,9 @@
     private void forgetDeparted() {
         List<DirectServer> usable = context.view().servers().all();
         context.health().retain(usable);
-        models.values().forEach(model -> model.reservations().retain(usable));
+        for (ModelService model : models.values()) {
+            model.reservations().retain(usable);
+            model.prefillSelector().retain(usable);
+        }
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -4,6 +4,7 @@
 import dev.foxtailshed.daemon.internal.direct.DecodeReservations.Reservation;
 import dev.foxtailshed.daemon.internal.direct.DirectJournal.StreamTimes;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
+import dev.foxtailshed.kernel.Verdict;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.CallerTerms.ModelDemand;
 import dev.foxtailshed.kernel.direct.DirectServer;
@@ -25,6 +26,9 @@
  */
 final class ModelFlow extends DirectFlow implements StreamRelay.Listener {
 
+    /** How often a request is sent that servers refuse as not run. */
+    private static final int MOST_SENDS = 2;
+
     private final ModelService service;
     private final ModelDemand demand;
     private final EventBoundary boundary = new EventBoundary();
@@ -167,6 +171,7 @@
 
     @Override
     public void onFirstEvent(StreamRelay current) {
+        cached.ifPresent(prompt -> service.prefillSelector().handleUsed(prompt.server()));
         cached = Optional.empty();
         context.journal()
                 .streamStarted(
@@ -199,16 +204,22 @@
                             boundary.events());
             endAnswer(current.status());
         } else {
-            goOn(outcome, detail);
+            goOn(current.server(), outcome, detail);
         }
     }
 
-    private void goOn(CallOutcome outcome, String detail) {
+    private void goOn(DirectServer server, CallOutcome outcome, String detail) {
+        if (outcome == CallOutcome.REFUSED) {
+            cached.ifPresent(prompt -> service.handleLapsed(prompt.server()));
+        }
         boolean midway = isAnswerStarted();
         boolean resumable = !midway || boundary.lastId().isPresent() || !boundary.hasEvents();
         releaseAll();
         prefillTried.clear();
-        if (resumable && nextStep(outcome) == NextStep.TRY_ANOTHER) {
+        boolean notRun = outcome == CallOutcome.REFUSED && verdict() == Verdict.NOT_RUN;
+        if (notRun && serversLeft() <= 0 && attempts() < MOST_SENDS) {
+            service.reservations().reserveAgain(this, server);
+        } else if (resumable && nextStep(outcome) == NextStep.TRY_ANOTHER) {
             resuming = midway;
             begin();
         } else {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -31,7 +31,7 @@
     private static final long RETRY_SPREAD_MILLIS = 1_000;
 
     /** Least time that a prefill server gets before another is tried. */
-    private static final long LEAST_PREFILL_MILLIS = 500;
+    private static final long LEAST_PREFILL_MILLIS = 1_500;
 
     private final DirectContext context;
     private final EngineControl control;
@@ -69,6 +69,10 @@
                 nowMillis);
     }
 
+    void handleLapsed(DirectServer server) {
+        prefillSelector.handleLapsed(server, context.timer().nowMillis());
+    }
+
     void releaseCache(DirectServer server, String handle) {
         control.send(server, context.platform().servers().releaseCache(handle), reply -> {});
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -87,7 +87,8 @@
     /** A suspect was refused. */
     SUSPECT_REFUSED(5005, Level.WARN, "A request that crashed two backend servers was refused."),
     /** An unexpected exception. */
-    INTERNAL_ERROR(9001, Level.ERROR, "An unexpected exception; please report it.");
+    INTERNAL_ERROR(9001, Level.ERROR, "An unexpected exception; please report it."),
+    LINES_DROPPED(9002, Level.WARN, "Log lines were dropped, since their reader stalled.");
 
     private final int number;
     private final Level level;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventLog.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventLog.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.events;
 
+import java.util.Arrays;
 import org.tinylog.Logger;
 
 /**
@@ -10,16 +11,22 @@
  */
 public final class EventLog {
 
+    private static final EventRate RATE = new EventRate();
+
     private EventLog() {}
 
     /**
-     * Writes an event.
+     * Writes an event, unless too many of its kind came in this second.
      *
      * @param code the event
      * @param fields its values
      */
     public static void log(EventCode code, Field... fields) {
-        EventMessage message = new EventMessage(code, fields);
+        long suppressed = RATE.admit(code, System.nanoTime());
+        if (suppressed < 0) {
+            return;
+        }
+        EventMessage message = new EventMessage(code, withSuppressed(fields, suppressed));
         switch (code.level()) {
             case ERROR -> Logger.error(message);
             case WARN -> Logger.warn(message);
@@ -27,6 +34,15 @@
         }
     }
 
+    private static Field[] withSuppressed(Field[] fields, long suppressed) {
+        if (suppressed == 0) {
+            return fields;
+        }
+        Field[] more = Arrays.copyOf(fields, fields.length + 1);
+        more[fields.length] = Field.of("suppressedBefore", suppressed);
+        return more;
+    }
+
     /**
      * Writes an event about an unexpected exception, with its stack.
      *
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/JsonConsoleWriter.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/JsonConsoleWriter.java
@@ -12,12 +12,18 @@
 import org.tinylog.writers.Writer;
 
 /**
- * A tinylog writer that prints one JSON object a line on standard error.
+ * A tinylog writer that prints one JSON object a line on standard output, without blocking.
  *
  * <p>tinylog's own JSON writer needs a file, and instances have no disks.
  */
 public final class JsonConsoleWriter implements Writer {
 
+    /** Longest wait for a reader at the end of the process. */
+    private static final long FLUSH_MILLIS = 200;
+
+    private static final LineQueue LINES =
+            new LineQueue(System.out, JsonConsoleWriter::droppedLine);
+
     /**
      * Creates the writer, as tinylog does for a configured writer.
      *
@@ -44,7 +50,19 @@
         if (entry.getException() != null) {
             line.addProperty("exception", entry.getException().toString());
         }
-        System.err.println(line);
+        LINES.add(line.toString());
+    }
+
+    /** Waits, for a short time at most, until the lines written so far are printed. */
+    public static void flushLines() {
+        LINES.flush(FLUSH_MILLIS);
+    }
+
+    private static String droppedLine(long count) {
+        JsonObject line =
+                new EventMessage(EventCode.LINES_DROPPED, Field.of("lines", count)).toJson();
+        line.addProperty("level", EventCode.LINES_DROPPED.level().name());
+        return line.toString();
     }
 
     private static void addMessage(JsonObject line, String message) {
@@ -62,7 +80,7 @@
 
     @Override
     public void flush() {
-        System.err.flush();
+        LINES.flush(FLUSH_MILLIS);
     }
 
     @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
@@ -19,6 +19,9 @@
  */
 public final class HttpExchange {
 
+    /** Characters of a plain message; longer ones are dumps of objects. */
+    private static final int LONGEST_MESSAGE = 80;
+
     private final Request request;
     private final Handler handler;
     private volatile boolean begun;
@@ -117,8 +120,18 @@
         }
     }
 
+    /**
+     * Names the cause; Jetty puts the state of its objects into some messages, for nobody's use.
+     */
+    private static String describe(Throwable cause) {
+        String name = cause.getClass().getSimpleName();
+        String message = cause.getMessage();
+        boolean plain = message != null && message.length() <= LONGEST_MESSAGE;
+        return plain ? name + ": " + message : name;
+    }
+
     private RequestFailure failureOf(Throwable cause) {
-        String text = "the backend server failed: " + cause;
+        String text = "the backend server failed: " + describe(cause);
         if (!begun) {
             return RequestFailure.notRun(ErrorCode.NO_SERVER, text);
         }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
@@ -10,15 +10,26 @@
 /**
  * Chooses the server that reads a prompt: the one with the fewest tokens of this entry under way.
  *
- * <p>Not thread-safe.
+ * <p>Answers servers whose handles lapse before they can be used: each prompt that they read is
+ * read in vain. Such a server is left alone, for longer each time, until a handle of it is used.
+ * Not thread-safe.
  */
 public final class PrefillSelector {
 
     /** Tokens that a server in another zone counts as busier; a tie should stay in the zone. */
     private static final long OTHER_ZONE_TOKENS = 500;
 
+    /** First time that a server with lapsing handles is left alone: a handle's usual life. */
+    private static final long FIRST_PAUSE_MILLIS = 500;
+
+    /** Longest such time; a server that is well again must be found within seconds. */
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+
+    private static final int MOST_DOUBLINGS = 10;
+
     private final String zone;
     private final Map<Incarnation, Long> tokens = new HashMap<>();
+    private final Map<Incarnation, Lapses> lapses = new HashMap<>();
 
     /**
      * Creates the selector.
@@ -43,7 +54,9 @@
         DirectServer best = null;
         long bestTokens = Long.MAX_VALUE;
         for (DirectServer server : servers) {
-            if (tried.contains(server.incarnation()) || !board.of(server).isEligible(nowMillis)) {
+            if (tried.contains(server.incarnation())
+                    || isAvoided(server, nowMillis)
+                    || !board.of(server).isEligible(nowMillis)) {
                 continue;
             }
             long busy = tokens.getOrDefault(server.incarnation(), 0L);
@@ -56,6 +69,47 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Notes that a handle was refused by the decode server that should have used it.
+     *
+     * @param server the server that read the prompt
+     * @param nowMillis the time
+     */
+    public void handleLapsed(DirectServer server, long nowMillis) {
+        Lapses before = lapses.getOrDefault(server.incarnation(), new Lapses(0, 0));
+        long pauseMillis = FIRST_PAUSE_MILLIS << Math.min(MOST_DOUBLINGS, before.inRow);
+        lapses.put(
+                server.incarnation(),
+                new Lapses(
+                        before.inRow + 1, nowMillis + Math.min(LONGEST_PAUSE_MILLIS, pauseMillis)));
+    }
+
+    /**
+     * Notes that a handle was used.
+     *
+     * @param server the server that read the prompt
+     */
+    public void handleUsed(DirectServer server) {
+        lapses.remove(server.incarnation());
+    }
+
+    /**
+     * Forgets servers that are gone.
+     *
+     * @param usable the servers that may get requests
+     */
+    public void retain(List<DirectServer> usable) {
+        lapses.keySet().retainAll(usable.stream().map(DirectServer::incarnation).toList());
+    }
+
+    private boolean isAvoided(DirectServer server, long nowMillis) {
+        Lapses known = lapses.get(server.incarnation());
+        return known != null && nowMillis < known.endMillis;
+    }
+
+    /** Handles of one server that lapsed in a row, and until when it is left alone. */
+    private record Lapses(int inRow, long endMillis) {}
+
     /**
      * Notes that a prompt is being read.
      *
--- /dev/null
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/BurstReplayTest.java
@@ -0,0 +1,115 @@
+package dev.foxtailshed.kernel.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.foxtailshed.kernel.direct.WaitingLine.Waiter;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Replays the worst load of a model pool: twice the usual arrivals for fourteen seconds, with
+ * streams that last for seconds, and callers that come back once.
+ *
+ * <p>The baseline serves first come first served until callers leave. The line refuses who would
+ * wait in vain. What counts is how many first events come within the objective.
+ */
+class BurstReplayTest {
+
+    private static final int PLACES = 42;
+    private static final long STREAM_MILLIS = 3_450;
+    private static final long OBJECTIVE_MILLIS = 900;
+    private static final long PATIENCE_MILLIS = 3_600;
+    private static final long PREFILL_MILLIS = 250;
+    private static final long END_MILLIS = 34_000;
+    private static final long STEP_MILLIS = 10;
+
+    private record Caller(long firstMillis, long arrivedMillis, boolean returned) {}
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void moreCallersAreServedInTimeThanFirstComeFirstServed(long seed) {
+        int baseline = firstComeFirstServed(arrivals(seed));
+        int line = withTheLine(arrivals(seed), seed);
+        int all = arrivals(seed).size();
+
+        assertThat(line).isGreaterThan(baseline + all / 10);
+        // The calm half and the pool's throughput in the burst: nearly three quarters of all.
+        assertThat(line).isGreaterThan(all * 70 / 100);
+    }
+
+    private static PriorityQueue<Caller> arrivals(long seed) {
+        Random random = new Random(seed);
+        PriorityQueue<Caller> callers =
+                new PriorityQueue<>(Comparator.comparingLong(Caller::arrivedMillis));
+        for (double now = 0; now < END_MILLIS; ) {
+            boolean burst = now > 8_000 && now < 22_000;
+            now += -Math.log(1 - random.nextDouble()) * 1_000 / (burst ? 14 : 7);
+            callers.add(new Caller((long) now, (long) now, false));
+        }
+        return callers;
+    }
+
+    private static int firstComeFirstServed(PriorityQueue<Caller> arrivals) {
+        Deque<Caller> queue = new ArrayDeque<>();
+        List<Long> ends = new ArrayList<>();
+        int inTime = 0;
+        for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
+            long time = now;
+            ends.removeIf(end -> end <= time);
+            while (!arrivals.isEmpty() && arrivals.peek().arrivedMillis() <= now) {
+                queue.add(arrivals.poll());
+            }
+            queue.removeIf(caller -> time - caller.arrivedMillis() > PATIENCE_MILLIS);
+            while (ends.size() < PLACES && !queue.isEmpty()) {
+                inTime += serve(queue.remove(), now, ends);
+            }
+        }
+        return inTime;
+    }
+
+    private static int withTheLine(PriorityQueue<Caller> arrivals, long seed) {
+        Random random = new Random(seed);
+        WaitingLine<Caller> line = new WaitingLine<>();
+        List<Long> ends = new ArrayList<>();
+        int inTime = 0;
+        for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
+            long time = now;
+            ends.removeIf(end -> end <= time);
+            List<Caller> refused = new ArrayList<>(line.expire(now));
+            while (!arrivals.isEmpty() && arrivals.peek().arrivedMillis() <= now) {
+                Caller caller = arrivals.poll();
+                long giveUp = caller.arrivedMillis() + OBJECTIVE_MILLIS - PREFILL_MILLIS;
+                if (line.join(caller, 1, false, giveUp, now).isEmpty()) {
+                    refused.add(caller);
+                }
+            }
+            for (Caller caller : refused) {
+                if (!caller.returned()) {
+                    long back = now + 500 + random.nextInt(1_000);
+                    arrivals.add(new Caller(caller.firstMillis(), back, true));
+                }
+            }
+            Optional<Waiter<Caller>> first = line.first();
+            while (ends.size() < PLACES && first.isPresent()) {
+                line.leave(first.get());
+                line.granted(now);
+                inTime += serve(first.get().item(), now, ends);
+                first = line.first();
+            }
+        }
+        return inTime;
+    }
+
+    private static int serve(Caller caller, long nowMillis, List<Long> ends) {
+        ends.add(nowMillis + PREFILL_MILLIS + STREAM_MILLIS);
+        return nowMillis + PREFILL_MILLIS - caller.firstMillis() <= OBJECTIVE_MILLIS ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/PrefillSelectorTest.java
@@ -0,0 +1,58 @@
+package dev.foxtailshed.kernel.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Tests which server reads a prompt. */
+class PrefillSelectorTest {
+
+    private final DirectServer first = Servers.model("p-1", Stage.PREFILL);
+    private final DirectServer second = Servers.model("p-2", Stage.PREFILL);
+    private final List<DirectServer> both = List.of(first, second);
+    private final HealthBoard board = new HealthBoard();
+    private final PrefillSelector selector = new PrefillSelector("a");
+
+    @Test
+    void theLeastBusyServerReads() {
+        selector.started(first, 3_000);
+        assertThat(selector.choose(both, Set.of(), board, 0)).contains(second);
+        selector.started(second, 5_000);
+        assertThat(selector.choose(both, Set.of(), board, 0)).contains(first);
+        selector.ended(second, 5_000);
+        assertThat(selector.choose(both, Set.of(), board, 0)).contains(second);
+    }
+
+    @Test
+    void serverWhoseHandlesLapseIsLeftAloneForLongerEachTimeUntilOneIsUsed() {
+        selector.handleLapsed(first, 0);
+        assertThat(selector.choose(List.of(first), Set.of(), board, 499)).isEmpty();
+        assertThat(selector.choose(List.of(first), Set.of(), board, 500)).contains(first);
+        selector.handleLapsed(first, 500);
+        assertThat(selector.choose(both, Set.of(), board, 1_499)).contains(second);
+        assertThat(selector.choose(List.of(first), Set.of(), board, 1_499)).isEmpty();
+
+        selector.handleUsed(first);
+        assertThat(selector.choose(List.of(first), Set.of(), board, 1_499)).contains(first);
+    }
+
+    /** Replays handles that lapse at once at one of two servers, for four seconds. */
+    @Test
+    void fewPromptsAreReadInVain() {
+        int vain = 0;
+        for (long now = 0; now < 4_000; now += 70) {
+            DirectServer server = selector.choose(both, Set.of(), board, now).orElseThrow();
+            if (server.equals(first)) {
+                vain++;
+                selector.handleLapsed(first, now);
+            } else {
+                selector.handleUsed(server);
+            }
+        }
+        // By the least busy server alone, it would be all of them.
+        assertThat(vain).isLessThanOrEqualTo(4);
+    }
+}
