Answer malformed requests in the product's error format, serve metrics as text

Cause: requests that the parser refuses got the library's HTML page, at the entry with sidecars as well; metrics were JSON only.

JsonErrorHandler answers with the verdict and the exact status. The test of a head that is too large failed first with 400 in place of 431, since the status was set after the answer. MetricsTextEndpoint and docs/METRICS.md, compared by a test.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import dev.foxtailshed.daemon.hosting.HostingPlatform;
 import dev.foxtailshed.daemon.hosting.SharedStore;
@@ -12,12 +13,14 @@
 import dev.foxtailshed.daemon.internal.http.InFlight;
 import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
 import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
+import dev.foxtailshed.daemon.internal.http.MetricsTextEndpoint;
 import dev.foxtailshed.daemon.internal.role.RunningRole;
 import dev.foxtailshed.daemon.internal.role.SignalHandlers;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
 import dev.foxtailshed.daemon.internal.timer.ExecutorTimerService;
 import dev.foxtailshed.kernel.direct.HealthBoard;
 import dev.foxtailshed.kernel.direct.RepeatBudget;
+import dev.foxtailshed.kernel.direct.RouteTable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -120,8 +123,10 @@
                         List.of(
                                 new ReadinessEndpoint(this::isReady),
                                 peers,
+                                new MetricsTextEndpoint(registry),
                                 new MetricsEndpoint(registry)),
                         () -> leaving));
+        registerGauges();
         callers.setErrorHandler(new JsonErrorHandler());
         control.setErrorHandler(new JsonErrorHandler());
     }
@@ -194,6 +199,19 @@
                 context, flows.control(), lease, first.instance(), flows::isLoaded);
     }
 
+    private void registerGauges() {
+        Gauge<Integer> running = inFlight::count;
+        registry.register("requests.inFlight", running);
+        Gauge<Integer> waiting = flows::waiting;
+        registry.register("streams.waiting", waiting);
+        Gauge<Long> version = () -> view.routes().map(RouteTable::version).orElse(0L);
+        registry.register("routes.version", version);
+        Gauge<Integer> usable = () -> view.servers().all().size();
+        registry.register("servers.usable", usable);
+        Gauge<Integer> members = () -> membership.count().orElse(0);
+        registry.register("entries.live", members);
+    }
+
     private boolean isReady() {
         return !leaving && view.isComplete();
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -26,6 +26,7 @@
     private final ServerSelector selector;
     private final Map<String, ModelService> models = new HashMap<>();
     private long lastRequestMillis = Long.MIN_VALUE / 2;
+    private volatile int waiting;
 
     DirectFlows(DirectContext context, String zone) {
         this.context = context;
@@ -44,6 +45,11 @@
         return context.timer().nowMillis() - lastRequestMillis < LOADED_MILLIS;
     }
 
+    /** Counts the requests that wait for decode capacity; from any thread, hence approximate. */
+    int waiting() {
+        return waiting;
+    }
+
     EngineControl control() {
         return control;
     }
@@ -77,6 +83,7 @@
 
     private void tick() {
         models.values().forEach(model -> model.reservations().tick());
+        waiting = models.values().stream().mapToInt(m -> m.reservations().waiting()).sum();
     }
 
     private void forgetDeparted() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Entry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Entry.java
@@ -14,6 +14,7 @@
 import dev.foxtailshed.daemon.internal.http.HealthEndpoint;
 import dev.foxtailshed.daemon.internal.http.HttpConnectors;
 import dev.foxtailshed.daemon.internal.http.InFlight;
+import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
 import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
 import dev.foxtailshed.daemon.internal.http.TlsSettings;
 import dev.foxtailshed.daemon.internal.manifest.ManifestHolder;
@@ -131,6 +132,7 @@
                 HttpConnectors.add(
                         server, settings.get(EntrySettings.LISTEN), TlsSettings.read(settings));
         server.setHandler(new EndpointChain(endpoints(context), () -> leaving));
+        server.setErrorHandler(new JsonErrorHandler());
     }
 
     void start() throws IOException {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/JsonErrorHandler.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/JsonErrorHandler.java
@@ -27,9 +27,10 @@
                                 ErrorCode.INVALID_REQUEST, "the request is refused: " + reason)
                         : RequestFailure.of(
                                 Verdict.MAY_HAVE_RUN, ErrorCode.INTERNAL, "internal: " + reason);
-        ErrorBody.write(response, failure, callback);
         // Jetty's own status is more exact than that of the error code: 413, 414, 431.
         response.setStatus(status);
+        response.getHeaders().put(ErrorBody.VERDICT_HEADER, failure.verdict().label());
+        ErrorBody.writeJson(response, ErrorBody.envelope(failure), callback);
         return true;
     }
 }
