Send no stream to a server that began to leave while the prompt was read

Ruled out: a late list of servers; the entry knew of the leaving.

Also: the share of servers that read prompts follows from what requests cost (StageDemand) and what a server holds, in place of a constant that fitted six servers of one size. A caller that leaves before its flow exists ends it.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -15,6 +15,7 @@
 import dev.foxtailshed.kernel.direct.RouteTable;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpFields;
@@ -147,17 +148,25 @@
 
     private void start(CallerRequest read, Request request, Response response, Callback callback) {
         AtomicReference<DirectFlow> flow = new AtomicReference<>();
+        AtomicBoolean gone = new AtomicBoolean();
         CallerStream caller =
                 new CallerStream(
                         request,
                         response,
                         callback,
-                        () -> context.loop().execute(() -> gone(flow)),
+                        () -> {
+                            gone.set(true);
+                            context.loop().execute(() -> gone(flow));
+                        },
                         ErrorBody::writeWithFractions);
         context.onLoop(
                 () -> {
                     flow.set(flows.create(read, caller));
                     flow.get().start();
+                    if (gone.get()) {
+                        // It left before there was a flow to tell.
+                        flow.get().callerGone();
+                    }
                 });
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -53,6 +53,9 @@
     /** Idle connections to servers are closed before servers usually close them. */
     private static final long SERVER_IDLE_MILLIS = 4_000;
 
+    /** After this an address without requests is forgotten; servers come and go. */
+    private static final long DESTINATION_IDLE_MILLIS = 60_000;
+
     /** Largest head of a request, above what configurations allow to callers. */
     private static final int MAXIMUM_HEAD_BYTES = 64 << 10;
 
@@ -137,6 +140,7 @@
             httpClient.setExecutor(threads);
             httpClient.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
             httpClient.setIdleTimeout(SERVER_IDLE_MILLIS);
+            httpClient.setDestinationIdleTimeout(DESTINATION_IDLE_MILLIS);
             httpClient.start();
             BackendHttp.passContentOn(httpClient);
             view.start();
@@ -196,7 +200,12 @@
         OrderLease lease =
                 new OrderLease(context, store, ORDER_LEASE, first.instance(), first.leaseMillis());
         return new StageCoordinator(
-                context, flows.control(), lease, first.instance(), flows::isLoaded);
+                context,
+                flows.control(),
+                lease,
+                first.instance(),
+                flows::isLoaded,
+                flows::demandOf);
     }
 
     private void registerGauges() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -6,6 +6,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.PrefillSelector;
 import dev.foxtailshed.kernel.direct.ServerSelector;
+import dev.foxtailshed.kernel.direct.StageDemand;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +19,7 @@
     private static final long TICK_MILLIS = 20;
 
     /** How long after a request the deployment counts as loaded. */
-    private static final long LOADED_MILLIS = 2_000;
+    private static final long LOADED_MILLIS = 10_000;
 
     private final DirectContext context;
     private final String zone;
@@ -68,6 +69,11 @@
         return new PlainStreamFlow(context, request, caller, selector);
     }
 
+    /** Returns what requests to a model service have cost so far. */
+    StageDemand demandOf(String service) {
+        return modelService(service).demand();
+    }
+
     private ModelService modelService(String name) {
         return models.computeIfAbsent(
                 name,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -102,7 +102,11 @@
         reservation = Optional.of(granted);
         reservationUsed = false;
         reservedMillis = context.timer().nowMillis();
-        readPrompt();
+        if (cached.isPresent()) {
+            stream();
+        } else {
+            readPrompt();
+        }
     }
 
     private void refuse(String message) {
@@ -138,6 +142,7 @@
         } else if (handle.isPresent()) {
             cached = Optional.of(new CachedPrompt(server, handle.get()));
             prefilledMillis = context.timer().nowMillis();
+            service.demand().prefilled(demand.promptTokens(), prefilledMillis - reservedMillis);
             prefillServer = server.id();
             stream();
         } else if (remainingMillis() > 0) {
@@ -149,6 +154,13 @@
 
     private void stream() {
         Reservation held = reservation.orElseThrow();
+        if (!service.isUsable(held.server())) {
+            // It began to leave while the prompt was read; nothing new may reach it.
+            reservation = Optional.empty();
+            service.reservations().giveBack(held);
+            begin();
+            return;
+        }
         OptionalLong resumeAfter = resuming ? boundary.lastId() : OptionalLong.empty();
         AttemptTerms terms =
                 new AttemptTerms(
@@ -196,6 +208,7 @@
         }
         boolean complete = outcome == CallOutcome.ANSWERED || outcome == CallOutcome.SERVER_ERROR;
         if (complete) {
+            service.demand().streamed(tokensToReserve(), current.elapsedMillis());
             context.journal()
                     .streamEnded(
                             request,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -6,6 +6,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
 import dev.foxtailshed.kernel.direct.FirstEventTimes;
 import dev.foxtailshed.kernel.direct.PrefillSelector;
+import dev.foxtailshed.kernel.direct.StageDemand;
 import java.util.Optional;
 import java.util.Set;
 
@@ -39,6 +40,7 @@
     private final DecodeReservations reservations;
     private final PrefillSelector prefillSelector;
     private final FirstEventTimes times = new FirstEventTimes();
+    private final StageDemand demand = new StageDemand();
 
     ModelService(
             DirectContext context,
@@ -53,6 +55,10 @@
         this.prefillSelector = prefillSelector;
     }
 
+    StageDemand demand() {
+        return demand;
+    }
+
     DecodeReservations reservations() {
         return reservations;
     }
@@ -69,6 +75,12 @@
                 nowMillis);
     }
 
+    /** Tells whether a server may still get new requests. */
+    boolean isUsable(DirectServer server) {
+        return context.view().servers().of(name).stream()
+                .anyMatch(usable -> usable.incarnation().equals(server.incarnation()));
+    }
+
     void handleLapsed(DirectServer server) {
         prefillSelector.handleLapsed(server, context.timer().nowMillis());
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -10,7 +10,7 @@
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.EngineTerms;
 import dev.foxtailshed.kernel.direct.RouteTable;
-import dev.foxtailshed.kernel.direct.StagePlan;
+import dev.foxtailshed.kernel.direct.StageDemand;
 import dev.foxtailshed.kernel.direct.StagePlan.Change;
 import dev.foxtailshed.kernel.direct.StagePlanner;
 import java.util.HashMap;
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
 /**
  * Orders model servers to change their stage, under the lease for orders.
@@ -32,17 +33,12 @@
     /** Time between two looks at the plan; varied by half, so that entries do not act in step. */
     private static final long PERIOD_MILLIS = 500;
 
-    /**
-     * Share of a service's servers that read prompts before demand is known: decode memory runs out
-     * first, as measured on both of the users' deployments.
-     */
-    private static final double PREFILL_SHARE = 1.0 / 3;
-
     private final DirectContext context;
     private final EngineControl control;
     private final OrderLease lease;
     private final String holder;
     private final BooleanSupplier loaded;
+    private final Function<String, StageDemand> demands;
     private final Map<String, StagePlanner> planners = new HashMap<>();
     private boolean ordering;
 
@@ -51,7 +47,9 @@
             EngineControl control,
             OrderLease lease,
             String holder,
-            BooleanSupplier loaded) {
+            BooleanSupplier loaded,
+            Function<String, StageDemand> demands) {
+        this.demands = demands;
         this.context = context;
         this.control = control;
         this.lease = lease;
@@ -76,11 +74,11 @@
 
     private void look(String service, EngineTerms engine) {
         List<DirectServer> servers = context.view().servers().of(service);
-        StagePlanner planner =
-                planners.computeIfAbsent(
-                        service, key -> new StagePlanner(new StagePlan(PREFILL_SHARE)));
+        StagePlanner planner = planners.computeIfAbsent(service, key -> new StagePlanner());
+        double prefillShare = demands.apply(service).prefillShare(engine);
         Optional<Change> change =
-                planner.decide(servers, loaded.getAsBoolean(), context.timer().nowMillis());
+                planner.decide(
+                        servers, prefillShare, loaded.getAsBoolean(), context.timer().nowMillis());
         if (change.isPresent() && !ordering) {
             ordering = true;
             readState(planner, change.get(), engine);
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
@@ -17,41 +17,38 @@
     /** Below this a service has no room for two stages. */
     private static final int LEAST_SERVERS = 2;
 
-    private final double prefillShare;
-
-    /**
-     * Creates a plan.
-     *
-     * @param prefillShare the share of servers that should read prompts, from 0 to 1
-     */
-    public StagePlan(double prefillShare) {
-        this.prefillShare = prefillShare;
-    }
+    /** Distance from the exact wish below which the split stays as it is; avoids flapping. */
+    private static final double HYSTERESIS_SERVERS = 0.75;
 
     /**
      * Returns the wanted number of prefill servers.
      *
      * @param servers how many servers the service has
+     * @param prefillShare the share of servers that should read prompts, from 0 to 1
+     * @param current how many do so now
      * @return at least one, and less than all, where there are two or more
      */
-    public int wantedPrefill(int servers) {
+    public int wantedPrefill(int servers, double prefillShare, int current) {
         if (servers < LEAST_SERVERS) {
             return 0;
         }
-        long rounded = Math.round(prefillShare * servers);
-        return (int) Math.max(1, Math.min(servers - 1, rounded));
+        double exact = prefillShare * servers;
+        boolean near = Math.abs(exact - current) <= HYSTERESIS_SERVERS;
+        long wanted = near ? current : Math.round(exact);
+        return (int) Math.max(1, Math.min(servers - 1, wanted));
     }
 
     /**
      * Chooses the next change.
      *
      * @param servers the usable model servers of one service
+     * @param prefillShare the share of servers that should read prompts
      * @return the change, or nothing if the split is as wanted
      */
-    public Optional<Change> next(List<DirectServer> servers) {
+    public Optional<Change> next(List<DirectServer> servers, double prefillShare) {
         List<DirectServer> prefill = ofStage(servers, Stage.PREFILL);
         List<DirectServer> decode = ofStage(servers, Stage.DECODE);
-        int wanted = wantedPrefill(prefill.size() + decode.size());
+        int wanted = wantedPrefill(prefill.size() + decode.size(), prefillShare, prefill.size());
         if (prefill.size() > wanted) {
             return pick(prefill).map(server -> new Change(server, Stage.DECODE));
         }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
@@ -29,37 +29,29 @@
     /** How long after its switch time a server may take to report its new stage. */
     private static final long REPORT_MILLIS = 3_000;
 
-    private final StagePlan plan;
+    private final StagePlan plan = new StagePlan();
     private final Map<Incarnation, Ordered> ordered = new HashMap<>();
     private List<DirectServer> lastSeen = List.of();
     private long unchangedSinceMillis;
 
-    /**
-     * Creates a planner.
-     *
-     * @param plan the wanted split
-     */
-    public StagePlanner(StagePlan plan) {
-        this.plan = plan;
-    }
-
     /**
      * Decides on the next change.
      *
      * @param servers the usable servers of the service
+     * @param prefillShare the share of servers that should read prompts
      * @param loaded whether requests are being served
      * @param nowMillis the time
      * @return the change to order now
      */
     public Optional<StagePlan.Change> decide(
-            List<DirectServer> servers, boolean loaded, long nowMillis) {
+            List<DirectServer> servers, double prefillShare, boolean loaded, long nowMillis) {
         ordered.values().removeIf(order -> order.endMillis <= nowMillis);
         List<DirectServer> expected = withOrders(servers);
         if (!expected.equals(lastSeen)) {
             lastSeen = expected;
             unchangedSinceMillis = nowMillis;
         }
-        Optional<StagePlan.Change> change = plan.next(expected);
+        Optional<StagePlan.Change> change = plan.next(expected, prefillShare);
         boolean settled = nowMillis - unchangedSinceMillis >= settleMillis(expected, loaded);
         boolean switching = loaded && !ordered.isEmpty();
         return settled && !switching ? change : Optional.empty();
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
@@ -15,31 +15,32 @@
 class StagePlannerTest {
 
     private static final long SWITCH_MILLIS = 6_000;
+    private static final double THIRD = 1.0 / 3;
 
-    private final StagePlanner planner = new StagePlanner(new StagePlan(1.0 / 3));
+    private final StagePlanner planner = new StagePlanner();
 
     @ParameterizedTest
     @CsvSource({"0, 0", "1, 0", "2, 1", "3, 1", "6, 2", "7, 2", "31, 10", "36, 12"})
     void wantedSplitFollowsTheShare(int servers, int expected) {
-        assertThat(new StagePlan(1.0 / 3).wantedPrefill(servers)).isEqualTo(expected);
+        assertThat(new StagePlan().wantedPrefill(servers, THIRD, 0)).isEqualTo(expected);
     }
 
     @Test
     void aGrowingListIsNotActedOn() {
         for (int count = 1; count <= 6; count++) {
-            assertThat(planner.decide(servers(count, 0), false, count * 1_000L)).isEmpty();
+            assertThat(planner.decide(servers(count, 0), THIRD, false, count * 1_000L)).isEmpty();
         }
-        assertThat(planner.decide(servers(6, 0), false, 7_999)).isEmpty();
-        assertThat(planner.decide(servers(6, 0), false, 8_000)).isPresent();
+        assertThat(planner.decide(servers(6, 0), THIRD, false, 7_999)).isEmpty();
+        assertThat(planner.decide(servers(6, 0), THIRD, false, 8_000)).isPresent();
     }
 
     @Test
     void withoutLoadAllChangesAreOrderedAtOnce() {
         List<DirectServer> servers = servers(4, 2);
-        planner.decide(servers, false, 0);
+        planner.decide(servers, THIRD, false, 0);
         List<Change> changes = new ArrayList<>();
         for (long now = 2_000; now < 4_000; now += 500) {
-            Optional<Change> change = planner.decide(servers, false, now);
+            Optional<Change> change = planner.decide(servers, THIRD, false, now);
             change.ifPresent(changes::add);
             if (change.isPresent()) {
                 planner.ordered(change.get(), SWITCH_MILLIS, now);
@@ -52,33 +53,39 @@
     @Test
     void underLoadOneServerSwitchesAtATimeAndOnlyAfterACrashHadTimeToEnd() {
         List<DirectServer> servers = servers(4, 2);
-        planner.decide(servers, true, 0);
-        assertThat(planner.decide(servers, true, 7_999)).isEmpty();
-        Change change = planner.decide(servers, true, 8_000).orElseThrow();
+        planner.decide(servers, THIRD, true, 0);
+        assertThat(planner.decide(servers, THIRD, true, 7_999)).isEmpty();
+        Change change = planner.decide(servers, THIRD, true, 8_000).orElseThrow();
         planner.ordered(change, SWITCH_MILLIS, 8_000);
-        assertThat(planner.decide(servers, true, 8_500)).isEmpty();
+        assertThat(planner.decide(servers, THIRD, true, 8_500)).isEmpty();
     }
 
     @Test
     void orderThatIsNotCarriedOutIsGivenAgainAfterItsTime() {
         List<DirectServer> servers = servers(3, 3);
-        planner.decide(servers, false, 0);
-        Change first = planner.decide(servers, false, 2_000).orElseThrow();
+        planner.decide(servers, THIRD, false, 0);
+        Change first = planner.decide(servers, THIRD, false, 2_000).orElseThrow();
         planner.ordered(first, SWITCH_MILLIS, 2_000);
-        assertThat(planner.decide(servers, false, 10_900)).isEmpty();
-        planner.decide(servers, false, 11_100);
-        assertThat(planner.decide(servers, false, 13_200)).isPresent();
+        assertThat(planner.decide(servers, THIRD, false, 10_900)).isEmpty();
+        planner.decide(servers, THIRD, false, 11_100);
+        assertThat(planner.decide(servers, THIRD, false, 13_200)).isPresent();
     }
 
     @Test
     void aStageWithoutServersIsFilledSooner() {
         List<DirectServer> decodeOnly = servers(0, 4);
-        planner.decide(decodeOnly, true, 0);
-        assertThat(planner.decide(decodeOnly, true, 2_999)).isEmpty();
-        assertThat(planner.decide(decodeOnly, true, 3_000).map(Change::stage))
+        planner.decide(decodeOnly, THIRD, true, 0);
+        assertThat(planner.decide(decodeOnly, THIRD, true, 2_999)).isEmpty();
+        assertThat(planner.decide(decodeOnly, THIRD, true, 3_000).map(Change::stage))
                 .contains(Stage.PREFILL);
     }
 
+    @ParameterizedTest
+    @CsvSource({"0.28, 2, 2", "0.28, 3, 2", "0.28, 1, 1", "0.20, 2, 1", "0.45, 2, 2", "0.46, 2, 3"})
+    void aSplitNearTheWishStays(double share, int current, int expected) {
+        assertThat(new StagePlan().wantedPrefill(6, share, current)).isEqualTo(expected);
+    }
+
     private static List<DirectServer> servers(int prefill, int decode) {
         List<DirectServer> servers = new ArrayList<>();
         for (int i = 0; i < prefill; i++) {
