--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StoreFollower.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StoreFollower.java
@@ -116,10 +116,14 @@
     }
 
     private void watch(long revision) {
+        watch(revision, WATCH_MILLIS);
+    }
+
+    private void watch(long revision, long waitMillis) {
         if (closed) {
             return;
         }
-        store.watch(collection, revision, WATCH_MILLIS)
+        store.watch(collection, revision, waitMillis)
                 .thenAcceptAsync(changes -> onChanges(changes, revision), executor)
                 .exceptionally(this::unexpected);
     }
@@ -136,7 +140,9 @@
                 logListed(read.getLeft(), revision);
                 retry(read.getLeft(), () -> listPage("", new ArrayList<>()));
             }
-            default -> retry(read.getLeft(), () -> watch(revision));
+            default ->
+                    // Without a wait, so that the store's return is noticed at once.
+                    retry(read.getLeft(), () -> watch(revision, 0));
         }
     }
 
