--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -2,22 +2,22 @@
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol;
 import dev.foxtailshed.daemon.internal.direct.EngineControl.Reply;
+import dev.foxtailshed.kernel.direct.AdmissionQueue;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.DecodeCapacity;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
 import dev.foxtailshed.kernel.direct.DirectService;
-import dev.foxtailshed.kernel.direct.WaitingLine;
-import dev.foxtailshed.kernel.direct.WaitingLine.Waiter;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
 /**
- * Reserves decode capacity of one service for the requests of this entry, one line for all.
+ * Reserves decode capacity of one service for the requests of this entry, one queue for all.
  *
- * <p>Only the first in the line asks a server, so waiting requests do not multiply calls. The line
- * moves when a request of this entry ends, when one arrives, and on a short tick for capacity that
- * other entries free. Runs on the entry's loop.
+ * <p>Only the first in the queue asks a server, so waiting requests do not multiply calls. The
+ * queue moves when a request of this entry ends, when one arrives, and on a short tick for capacity
+ * that other entries free. Runs on the entry's loop.
  */
 final class DecodeReservations {
 
@@ -34,7 +34,7 @@
     private final EngineControl control;
     private final String service;
     private final DecodeCapacity capacity;
-    private final WaitingLine<ModelFlow> line = new WaitingLine<>();
+    private final AdmissionQueue<ModelFlow> queue = new AdmissionQueue<>();
     private int asking;
 
     DecodeReservations(
@@ -54,18 +54,18 @@
      */
     record Reservation(DirectServer server, String id, long tokens) {}
 
-    /** Lets a request wait; empty if it would wait in vain. */
+    /** Lets a request wait; empty if it cannot be served in time. */
     Optional<Waiter<ModelFlow>> join(
             ModelFlow flow, int priority, boolean late, long giveUpMillis) {
         long nowMillis = context.timer().nowMillis();
         Optional<Waiter<ModelFlow>> waiter =
-                line.join(flow, priority, late, giveUpMillis, nowMillis);
+                queue.enqueue(flow, priority, late, giveUpMillis, nowMillis);
         pump();
         return waiter;
     }
 
     void leave(Waiter<ModelFlow> waiter) {
-        line.leave(waiter);
+        queue.remove(waiter);
     }
 
     /** Reserves at the server that has refused the request, as no other one may get it. */
@@ -80,7 +80,7 @@
                                     ? context.platform().servers().reservation(reply.body())
                                     : Optional.empty();
                     if (id.isEmpty()) {
-                        flow.waitedInVain();
+                        flow.waitTimeExpired();
                         return;
                     }
                     capacity.reserved(server, tokens);
@@ -111,19 +111,19 @@
         pump();
     }
 
-    /** Moves the line and refuses those whose time is up. */
+    /** Moves the queue and refuses those whose time is up. */
     void tick() {
-        List<ModelFlow> expired = line.expire(context.timer().nowMillis());
-        expired.forEach(ModelFlow::waitedInVain);
+        List<ModelFlow> expired = queue.expire(context.timer().nowMillis());
+        expired.forEach(ModelFlow::waitTimeExpired);
         pump();
     }
 
     long drainMillis() {
-        return line.drainMillis();
+        return queue.drainMillis();
     }
 
     int waiting() {
-        return line.size();
+        return queue.size();
     }
 
     void retain(List<DirectServer> usable) {
@@ -132,15 +132,15 @@
 
     private void pump() {
         long nowMillis = context.timer().nowMillis();
-        while (asking < MAXIMUM_ASKING && line.first().isPresent()) {
+        while (asking < MAXIMUM_ASKING && queue.peek().isPresent()) {
             List<DirectServer> servers = context.view().servers().of(service, Stage.DECODE);
             Optional<DirectServer> server =
                     capacity.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
                 return;
             }
-            Waiter<ModelFlow> waiter = line.first().get();
-            line.leave(waiter);
+            Waiter<ModelFlow> waiter = queue.peek().get();
+            queue.remove(waiter);
             ask(waiter, server.get());
         }
     }
@@ -211,7 +211,7 @@
             capacity.reserved(server, tokens);
             Reservation reservation = new Reservation(server, id.get(), tokens);
             if (!flow.isFinished()) {
-                line.granted(nowMillis);
+                queue.granted(nowMillis);
             }
             grant(flow, reservation);
         } else {
@@ -220,7 +220,7 @@
                 context.health().of(server).unanswered(nowMillis);
             }
             if (!flow.isFinished()) {
-                line.rejoin(waiter);
+                queue.requeue(waiter);
             }
         }
         pump();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -15,7 +15,7 @@
 /** Makes the flow that fits a request, and keeps what flows share. Runs on the entry's loop. */
 final class DirectFlows implements DirectEndpoint.FlowFactory {
 
-    /** How often the lines are looked at; a fraction of any latency objective. */
+    /** How often the queues are checked; a fraction of any latency objective. */
     private static final long TICK_MILLIS = 20;
 
     /** How long after a request the deployment counts as loaded. */
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -5,12 +5,12 @@
 import dev.foxtailshed.daemon.internal.direct.DirectJournal.StreamTimes;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
 import dev.foxtailshed.kernel.Verdict;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.CallerTerms.ModelDemand;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.EventBoundary;
 import dev.foxtailshed.kernel.direct.NextStep;
-import dev.foxtailshed.kernel.direct.WaitingLine.Waiter;
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Optional;
@@ -90,8 +90,8 @@
         return service.reservationMillis();
     }
 
-    /** Its time in the line is up. */
-    void waitedInVain() {
+    /** Its time in the queue is up. */
+    void waitTimeExpired() {
         waiter = Optional.empty();
         refuse("no decode capacity in time");
     }
@@ -217,11 +217,11 @@
                             boundary.events());
             endAnswer(current.status());
         } else {
-            goOn(current.server(), outcome, detail);
+            handleFailedAttempt(current.server(), outcome, detail);
         }
     }
 
-    private void goOn(DirectServer server, CallOutcome outcome, String detail) {
+    private void handleFailedAttempt(DirectServer server, CallOutcome outcome, String detail) {
         if (outcome == CallOutcome.REFUSED) {
             cached.ifPresent(prompt -> service.handleLapsed(prompt.server()));
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -24,13 +24,15 @@
 /**
  * Orders model servers to change their stage, under the lease for orders.
  *
- * <p>Every entry looks at the plan; who gets the lease acts on it. Before an order the server's own
- * count of orders is read and sent along, so that an order which comes late, or after another one,
- * is refused by the server. Runs on the entry's loop.
+ * <p>Every entry evaluates the plan; the one that gets the lease acts on it. Before an order the
+ * server's own count of orders is read and sent along, so that an order which comes late, or after
+ * another one, is refused by the server. Runs on the entry's loop.
  */
 final class StageCoordinator {
 
-    /** Time between two looks at the plan; varied by half, so that entries do not act in step. */
+    /**
+     * Time between two evaluations of the plan; varied by half, so that entries do not act in step.
+     */
     private static final long PERIOD_MILLIS = 500;
 
     private final DirectContext context;
@@ -59,20 +61,20 @@
 
     void start() {
         long spreadMillis = (long) (PERIOD_MILLIS * context.random().getAsDouble());
-        context.once(PERIOD_MILLIS / 2 + spreadMillis, this::look);
+        context.once(PERIOD_MILLIS / 2 + spreadMillis, this::evaluate);
     }
 
-    private void look() {
+    private void evaluate() {
         Optional<RouteTable> routes = context.view().routes();
         if (routes.isPresent() && context.view().isComplete() && !ordering) {
             for (DirectService service : routes.get().services().values()) {
-                service.engine().ifPresent(engine -> look(service.name(), engine));
+                service.engine().ifPresent(engine -> evaluate(service.name(), engine));
             }
         }
         start();
     }
 
-    private void look(String service, EngineTerms engine) {
+    private void evaluate(String service, EngineTerms engine) {
         List<DirectServer> servers = context.view().servers().of(service);
         StagePlanner planner = planners.computeIfAbsent(service, key -> new StagePlanner());
         double prefillShare = demands.apply(service).prefillShare(engine);
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/WaitingLine.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/AdmissionQueue.java
@@ -6,17 +6,18 @@
 import java.util.Optional;
 
 /**
- * Orders the requests that wait for decode capacity, and tells which of them wait in vain.
+ * Orders the requests that wait for decode capacity, and rejects those that cannot be served in
+ * time.
  *
  * <p>Answers bursts above the pool's capacity. Served first come first served, such a burst makes
  * every request late. So those that can still meet their objective come first, by priority and then
- * by arrival; late ones follow. A request is refused on arrival when the line ahead of it takes
+ * by arrival; late ones follow. A request is refused on arrival when the queue ahead of it takes
  * longer than it can wait, and while waiting as soon as its time is up. Size plays no part, so that
  * large requests are not overtaken for ever by small ones. Not thread-safe.
  *
  * @param <T> what waits
  */
-public final class WaitingLine<T> {
+public final class AdmissionQueue<T> {
 
     /** Weight of the newest interval between two grants: about the last eight count. */
     private static final double SAMPLE_WEIGHT = 0.125;
@@ -35,7 +36,7 @@
     private double grantIntervalMillis;
 
     /**
-     * A request in the line.
+     * A request in the queue.
      *
      * @param <T> what waits
      */
@@ -74,16 +75,16 @@
     }
 
     /**
-     * Lets a request wait, unless the wait would be in vain.
+     * Lets a request wait, unless it cannot be served in time.
      *
      * @param item what waits
      * @param priority its rank, 0 is the most urgent
      * @param late whether it has missed its objective already
-     * @param giveUpMillis when waiting longer is in vain
+     * @param giveUpMillis when waiting longer serves nobody
      * @param nowMillis the time
-     * @return the place in the line, or nothing if the request should be refused at once
+     * @return the place in the queue, or nothing if the request should be refused at once
      */
-    public Optional<Waiter<T>> join(
+    public Optional<Waiter<T>> enqueue(
             T item, int priority, boolean late, long giveUpMillis, long nowMillis) {
         Waiter<T> waiter = new Waiter<>(item, priority, late, giveUpMillis, nextSequence++);
         long ahead = waiters.stream().filter(other -> ORDER.compare(other, waiter) < 0).count();
@@ -100,7 +101,7 @@
      *
      * @param waiter its place
      */
-    public void rejoin(Waiter<T> waiter) {
+    public void requeue(Waiter<T> waiter) {
         waiters.add(waiter);
         waiters.sort(ORDER);
     }
@@ -108,19 +109,19 @@
     /**
      * Returns the request that gets the next reservation.
      *
-     * @return the first in the line
+     * @return the first in the queue
      */
-    public Optional<Waiter<T>> first() {
+    public Optional<Waiter<T>> peek() {
         return waiters.stream().findFirst();
     }
 
     /**
-     * Takes a request out of the line.
+     * Takes a request out of the queue.
      *
      * @param waiter its place
      * @return false if it was out already
      */
-    public boolean leave(Waiter<T> waiter) {
+    public boolean remove(Waiter<T> waiter) {
         return waiters.remove(waiter);
     }
 
@@ -141,7 +142,7 @@
      * Takes out the requests whose time is up.
      *
      * @param nowMillis the time
-     * @return what waited in vain
+     * @return what was removed
      */
     public List<T> expire(long nowMillis) {
         List<T> expired = new ArrayList<>();
@@ -159,14 +160,14 @@
     /**
      * Estimates when a refused request would find capacity.
      *
-     * @return the time that the line needs to empty
+     * @return the time that the queue needs to empty
      */
     public long drainMillis() {
         return (long) (waiters.size() * grantIntervalMillis);
     }
 
     /**
-     * Returns the length of the line.
+     * Returns the length of the queue.
      *
      * @return the requests waiting
      */
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
@@ -11,8 +11,8 @@
  * Chooses the server that reads a prompt: the one with the fewest tokens of this entry under way.
  *
  * <p>Answers servers whose handles lapse before they can be used: each prompt that they read is
- * read in vain. Such a server is left alone, for longer each time, until a handle of it is used.
- * Not thread-safe.
+ * wasted. Such a server is left alone, for longer each time, until a handle of it is used. Not
+ * thread-safe.
  */
 public final class PrefillSelector {
 
--- /dev/null
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionQueueTest.java
@@ -0,0 +1,61 @@
+package dev.foxtailshed.kernel.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Tests the order of requests that wait for decode capacity. */
+class AdmissionQueueTest {
+
+    private final AdmissionQueue<String> queue = new AdmissionQueue<>();
+
+    @Test
+    void thoseInTimeComeFirstThenByPriorityThenByArrival() {
+        queue.enqueue("late", 0, true, 10_000, 0);
+        queue.enqueue("low", 2, false, 10_000, 0);
+        queue.enqueue("first", 1, false, 10_000, 0);
+        queue.enqueue("second", 1, false, 10_000, 0);
+        List<String> order = new ArrayList<>();
+        while (queue.peek().isPresent()) {
+            Waiter<String> waiter = queue.peek().get();
+            order.add(waiter.item());
+            queue.remove(waiter);
+        }
+        assertThat(order).containsExactly("first", "second", "low", "late");
+    }
+
+    @Test
+    void requestThatCannotBeServedInTimeIsRejectedOnArrival() {
+        for (long now = 0; now <= 8_000; now += 200) {
+            Waiter<String> waiter = queue.enqueue("x", 1, false, now + 10_000, now).orElseThrow();
+            queue.remove(waiter);
+            queue.granted(now);
+        }
+        queue.enqueue("a", 1, false, 9_000, 8_000);
+        queue.enqueue("b", 1, false, 9_000, 8_000);
+        assertThat(queue.enqueue("in time", 1, false, 8_600, 8_000)).isPresent();
+        assertThat(queue.enqueue("too late", 1, false, 8_300, 8_000)).isEmpty();
+    }
+
+    @Test
+    void expiredRequestsAreRemoved() {
+        queue.enqueue("a", 1, false, 500, 0);
+        queue.enqueue("b", 1, false, 900, 0);
+        assertThat(queue.expire(500)).containsExactly("a");
+        assertThat(queue.peek().map(Waiter::item)).contains("b");
+    }
+
+    @Test
+    void requestThatWasNotServedGetsItsPlaceBack() {
+        queue.enqueue("a", 1, false, 5_000, 0);
+        queue.enqueue("b", 1, false, 5_000, 0);
+        Waiter<String> first = queue.peek().orElseThrow();
+        queue.remove(first);
+        queue.requeue(first);
+        assertThat(queue.peek()).isEqualTo(Optional.of(first));
+    }
+}
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/BurstReplayTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/BurstReplayTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.foxtailshed.kernel.direct.WaitingLine.Waiter;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,8 +18,8 @@
  * Replays the worst load of a model pool: twice the usual arrivals for fourteen seconds, with
  * streams that last for seconds, and callers that come back once.
  *
- * <p>The baseline serves first come first served until callers leave. The line refuses who would
- * wait in vain. What counts is how many first events come within the objective.
+ * <p>The baseline serves first come first served until callers leave. The queue rejects who cannot
+ * be served in time. What counts is how many first events come within the objective.
  */
 class BurstReplayTest {
 
@@ -37,12 +37,12 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void moreCallersAreServedInTimeThanFirstComeFirstServed(long seed) {
         int baseline = firstComeFirstServed(arrivals(seed));
-        int line = withTheLine(arrivals(seed), seed);
+        int queued = withTheQueue(arrivals(seed), seed);
         int all = arrivals(seed).size();
 
-        assertThat(line).isGreaterThan(baseline + all / 10);
+        assertThat(queued).isGreaterThan(baseline + all / 10);
         // The calm half and the pool's throughput in the burst: nearly three quarters of all.
-        assertThat(line).isGreaterThan(all * 70 / 100);
+        assertThat(queued).isGreaterThan(all * 70 / 100);
     }
 
     private static PriorityQueue<Caller> arrivals(long seed) {
@@ -58,36 +58,36 @@
     }
 
     private static int firstComeFirstServed(PriorityQueue<Caller> arrivals) {
-        Deque<Caller> queue = new ArrayDeque<>();
+        Deque<Caller> fifo = new ArrayDeque<>();
         List<Long> ends = new ArrayList<>();
         int inTime = 0;
         for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
             long time = now;
             ends.removeIf(end -> end <= time);
             while (!arrivals.isEmpty() && arrivals.peek().arrivedMillis() <= now) {
-                queue.add(arrivals.poll());
+                fifo.add(arrivals.poll());
             }
-            queue.removeIf(caller -> time - caller.arrivedMillis() > PATIENCE_MILLIS);
-            while (ends.size() < PLACES && !queue.isEmpty()) {
-                inTime += serve(queue.remove(), now, ends);
+            fifo.removeIf(caller -> time - caller.arrivedMillis() > PATIENCE_MILLIS);
+            while (ends.size() < PLACES && !fifo.isEmpty()) {
+                inTime += serve(fifo.remove(), now, ends);
             }
         }
         return inTime;
     }
 
-    private static int withTheLine(PriorityQueue<Caller> arrivals, long seed) {
+    private static int withTheQueue(PriorityQueue<Caller> arrivals, long seed) {
         Random random = new Random(seed);
-        WaitingLine<Caller> line = new WaitingLine<>();
+        AdmissionQueue<Caller> queue = new AdmissionQueue<>();
         List<Long> ends = new ArrayList<>();
         int inTime = 0;
         for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
             long time = now;
             ends.removeIf(end -> end <= time);
-            List<Caller> refused = new ArrayList<>(line.expire(now));
+            List<Caller> refused = new ArrayList<>(queue.expire(now));
             while (!arrivals.isEmpty() && arrivals.peek().arrivedMillis() <= now) {
                 Caller caller = arrivals.poll();
                 long giveUp = caller.arrivedMillis() + OBJECTIVE_MILLIS - PREFILL_MILLIS;
-                if (line.join(caller, 1, false, giveUp, now).isEmpty()) {
+                if (queue.enqueue(caller, 1, false, giveUp, now).isEmpty()) {
                     refused.add(caller);
                 }
             }
@@ -97,12 +97,12 @@
                     arrivals.add(new Caller(caller.firstMillis(), back, true));
                 }
             }
-            Optional<Waiter<Caller>> first = line.first();
+            Optional<Waiter<Caller>> first = queue.peek();
             while (ends.size() < PLACES && first.isPresent()) {
-                line.leave(first.get());
-                line.granted(now);
+                queue.remove(first.get());
+                queue.granted(now);
                 inTime += serve(first.get().item(), now, ends);
-                first = line.first();
+                first = queue.peek();
             }
         }
         return inTime;
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/PrefillSelectorTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/PrefillSelectorTest.java
@@ -41,18 +41,18 @@
 
     /** Replays handles that lapse at once at one of two servers, for four seconds. */
     @Test
-    void fewPromptsAreReadInVain() {
-        int vain = 0;
+    void fewPromptsAreWasted() {
+        int wasted = 0;
         for (long now = 0; now < 4_000; now += 70) {
             DirectServer server = selector.choose(both, Set.of(), board, now).orElseThrow();
             if (server.equals(first)) {
-                vain++;
+                wasted++;
                 selector.handleLapsed(first, now);
             } else {
                 selector.handleUsed(server);
             }
         }
         // By the least busy server alone, it would be all of them.
-        assertThat(vain).isLessThanOrEqualTo(4);
+        assertThat(wasted).isLessThanOrEqualTo(4);
     }
 }
