Reject what no server can hold, and serve model servers without stages

Cause, by reading the code: a request larger than a server's KV cache, or one for a service without decode servers, waited for its whole objective before it was refused. Servers that name no stage were never used, and servers that take no reservations refused every stream.

Such requests are rejected at once; servers without a stage generate; where the configuration allows no reservations, requests are sent without one.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -6,8 +6,8 @@
 import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.DecodeCapacity;
 import dev.foxtailshed.kernel.direct.DirectServer;
-import dev.foxtailshed.kernel.direct.DirectServer.Stage;
 import dev.foxtailshed.kernel.direct.DirectService;
+import dev.foxtailshed.kernel.direct.EngineTerms;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -49,15 +49,20 @@
      * Capacity that a request holds at a decode server.
      *
      * @param server the server
-     * @param id the reservation's id
+     * @param id the reservation's id, absent where servers take none
      * @param tokens the tokens reserved
      */
-    record Reservation(DirectServer server, String id, long tokens) {}
+    record Reservation(DirectServer server, Optional<String> id, long tokens) {}
 
-    /** Lets a request wait; empty if it cannot be served in time. */
+    /** Lets a request wait; empty if it cannot be served in time, or not at all. */
     Optional<Waiter<ModelFlow>> join(
             ModelFlow flow, int priority, boolean late, long giveUpMillis) {
         long nowMillis = context.timer().nowMillis();
+        boolean tooLarge =
+                engine().filter(e -> flow.tokensToReserve() > e.kvCacheTokens()).isPresent();
+        if (tooLarge || context.view().servers().generating(service).isEmpty()) {
+            return Optional.empty();
+        }
         Optional<Waiter<ModelFlow>> waiter =
                 queue.enqueue(flow, priority, late, giveUpMillis, nowMillis);
         pump();
@@ -75,16 +80,13 @@
                 server,
                 context.platform().servers().reserve(tokens, flow.reservationMillis()),
                 reply -> {
-                    Optional<String> id =
-                            reply.isSuccess()
-                                    ? context.platform().servers().reservation(reply.body())
-                                    : Optional.empty();
+                    Optional<String> id = reservationId(reply);
                     if (id.isEmpty()) {
                         flow.waitTimeExpired();
                         return;
                     }
                     capacity.reserved(server, tokens);
-                    grant(flow, new Reservation(server, id.get(), tokens));
+                    grant(flow, new Reservation(server, id, tokens));
                 });
     }
 
@@ -99,9 +101,13 @@
     /** Gives an unused reservation back. */
     void giveBack(Reservation reservation) {
         capacity.released(reservation.server(), reservation.tokens());
+        if (reservation.id().isEmpty()) {
+            pump();
+            return;
+        }
         control.send(
                 reservation.server(),
-                context.platform().servers().releaseReservation(reservation.id()),
+                context.platform().servers().releaseReservation(reservation.id().get()),
                 reply -> pump());
     }
 
@@ -133,7 +139,7 @@
     private void pump() {
         long nowMillis = context.timer().nowMillis();
         while (asking < MAXIMUM_ASKING && queue.peek().isPresent()) {
-            List<DirectServer> servers = context.view().servers().of(service, Stage.DECODE);
+            List<DirectServer> servers = context.view().servers().generating(service);
             Optional<DirectServer> server =
                     capacity.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
@@ -148,7 +154,9 @@
     private void ask(Waiter<ModelFlow> waiter, DirectServer server) {
         asking++;
         capacity.asking(server);
-        if (waiter.isLate()) {
+        if (!takesReservations()) {
+            granted(waiter, server, Optional.empty(), waiter.item().tokensToReserve());
+        } else if (waiter.isLate()) {
             askForSpareCapacity(waiter, server);
         } else {
             askFor(waiter, server);
@@ -175,10 +183,7 @@
                 server,
                 protocol.reserve(flow.tokensToReserve() + spareTokens(), flow.reservationMillis()),
                 reply -> {
-                    Optional<String> id =
-                            reply.isSuccess()
-                                    ? protocol.reservation(reply.body())
-                                    : Optional.empty();
+                    Optional<String> id = reservationId(reply);
                     if (id.isEmpty()) {
                         answered(waiter, server, 0, reply);
                         return;
@@ -191,38 +196,52 @@
     }
 
     private long spareTokens() {
+        return engine().map(e -> (long) (SPARE_SHARE * e.kvCacheTokens())).orElse(0L);
+    }
+
+    private boolean takesReservations() {
+        return engine().filter(e -> e.reservationLimitMillis() > 0).isPresent();
+    }
+
+    private Optional<EngineTerms> engine() {
         return context.view()
                 .routes()
                 .flatMap(routes -> routes.service(service))
-                .flatMap(DirectService::engine)
-                .map(engine -> (long) (SPARE_SHARE * engine.kvCacheTokens()))
-                .orElse(0L);
+                .flatMap(DirectService::engine);
+    }
+
+    private Optional<String> reservationId(Reply reply) {
+        return reply.isSuccess()
+                ? context.platform().servers().reservation(reply.body())
+                : Optional.empty();
     }
 
     private void answered(Waiter<ModelFlow> waiter, DirectServer server, long tokens, Reply reply) {
+        Optional<String> id = reservationId(reply);
+        if (id.isPresent()) {
+            granted(waiter, server, id, tokens);
+            pump();
+            return;
+        }
         asking--;
-        ModelFlow flow = waiter.item();
         long nowMillis = context.timer().nowMillis();
-        Optional<String> id =
-                reply.isSuccess()
-                        ? context.platform().servers().reservation(reply.body())
-                        : Optional.empty();
-        if (id.isPresent()) {
-            capacity.reserved(server, tokens);
-            Reservation reservation = new Reservation(server, id.get(), tokens);
-            if (!flow.isFinished()) {
-                queue.granted(nowMillis);
-            }
-            grant(flow, reservation);
-        } else {
-            capacity.refused(server, nowMillis);
-            if (!reply.isAnswer()) {
-                context.health().of(server).unanswered(nowMillis);
-            }
-            if (!flow.isFinished()) {
-                queue.requeue(waiter);
-            }
+        capacity.refused(server, nowMillis);
+        if (!reply.isAnswer()) {
+            context.health().of(server).unanswered(nowMillis);
+        }
+        if (!waiter.item().isFinished()) {
+            queue.requeue(waiter);
         }
         pump();
     }
+
+    private void granted(
+            Waiter<ModelFlow> waiter, DirectServer server, Optional<String> id, long tokens) {
+        asking--;
+        capacity.reserved(server, tokens);
+        if (!waiter.item().isFinished()) {
+            queue.granted(context.timer().nowMillis());
+        }
+        grant(waiter.item(), new Reservation(server, id, tokens));
+    }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -76,7 +76,10 @@
         Optional<Waiter<ModelFlow>> place =
                 service.reservations().join(this, request.route().priority(), late, giveUpMillis);
         if (place.isEmpty()) {
-            refuse("no decode capacity in time: " + service.reservations().waiting() + " wait");
+            refuse(
+                    "no decode capacity in time or at all: "
+                            + service.reservations().waiting()
+                            + " wait");
         } else if (reservation.isEmpty()) {
             waiter = place;
         }
@@ -167,7 +170,7 @@
                         held.server().id(),
                         remainingMillis(),
                         false,
-                        Optional.of(held.id()),
+                        held.id(),
                         cached.map(CachedPrompt::source),
                         resumeAfter);
         if (attempts() > 0 && !budget().tryRepeat(context.timer().nowMillis())) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ServerCatalog.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ServerCatalog.java
@@ -35,6 +35,13 @@
         return of(service).stream().filter(s -> s.stage().equals(Optional.of(stage))).toList();
     }
 
+    /** Returns the servers that generate tokens; those without stages do both. */
+    List<DirectServer> generating(String service) {
+        return of(service).stream()
+                .filter(s -> !s.stage().equals(Optional.of(Stage.PREFILL)))
+                .toList();
+    }
+
     List<DirectServer> all() {
         return byService.values().stream().flatMap(List::stream).toList();
     }
