--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -11,7 +11,9 @@
 /**
  * One attempt whose answer is a stream: whole events go to the caller as they arrive.
  *
- * <p>A stream that falls silent is given up. Runs on the entry's loop.
+ * <p>A stream that falls silent is given up if it can go on at another server. One that cannot is
+ * left to its server until the deadline: it may have been preempted and goes on later. Runs on the
+ * entry's loop.
  */
 final class StreamRelay implements BackendCall.Listener {
 
@@ -62,7 +64,9 @@
     void send() {
         call.send();
         lastBytesMillis = context.timer().nowMillis();
-        watchSilence(silenceMillis);
+        if (flow.request.route().repeatability().mayRunAgain() && flow.serversLeft() > 0) {
+            watchSilence(silenceMillis);
+        }
     }
 
     void cancel() {
