--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectSettings.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectSettings.java
@@ -56,7 +56,10 @@
     static DirectSettings read(Path file) {
         try {
             return parse(Files.readString(file));
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException e) {
+            throw new IllegalArgumentException(
+                    "settings file " + file + " cannot be read: " + e, e);
+        } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("settings file " + file + ": " + e.getMessage(), e);
         }
     }
