--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
@@ -37,17 +37,11 @@
 
     @Override
     void begin() {
-        Optional<DirectServer> server =
-                selector.choose(
-                        context.view().servers().of(request.service().name()),
-                        tried(),
-                        context.timer().nowMillis());
-        if (server.isEmpty()) {
-            fail("no server of " + request.service().name() + " is left to try");
-            return;
-        }
-        sending(server.get());
-        current = Optional.of(new Attempt(server.get()));
+        chooseServer(selector).ifPresent(this::send);
+    }
+
+    private void send(DirectServer server) {
+        current = Optional.of(new Attempt(server));
         current.get().call.send();
         limitSilence(current.get().call);
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -11,6 +11,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.NextStep;
 import dev.foxtailshed.kernel.direct.RepeatBudget;
+import dev.foxtailshed.kernel.direct.ServerSelector;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -75,10 +76,6 @@
         return request.deadlineMillis() - context.timer().nowMillis();
     }
 
-    final Set<Incarnation> tried() {
-        return tried;
-    }
-
     final int attempts() {
         return attempts;
     }
@@ -91,6 +88,21 @@
         return context.budgets().of(request.service().name());
     }
 
+    /** Chooses the server that the request is sent to next; fails the request if none is left. */
+    final Optional<DirectServer> chooseServer(ServerSelector selector) {
+        Optional<DirectServer> server =
+                selector.choose(
+                        context.view().servers().of(request.service().name()),
+                        tried,
+                        context.timer().nowMillis());
+        if (server.isPresent()) {
+            sending(server.get());
+        } else {
+            fail("no server of " + request.service().name() + " is left to try");
+        }
+        return server;
+    }
+
     /** Notes that the request is about to be sent to a server. */
     final void sending(DirectServer server) {
         tried.add(server.incarnation());
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
@@ -26,19 +26,12 @@
 
     @Override
     void begin() {
-        Optional<DirectServer> server =
-                selector.choose(
-                        context.view().servers().of(request.service().name()),
-                        tried(),
-                        context.timer().nowMillis());
-        if (server.isEmpty()) {
-            fail("no server of " + request.service().name() + " is left to try");
-            return;
-        }
-        sending(server.get());
+        chooseServer(selector).ifPresent(this::send);
+    }
+
+    private void send(DirectServer server) {
         StreamRelay relay =
-                new StreamRelay(
-                        context, this, server.get(), plainTerms(server.get()), boundary, this);
+                new StreamRelay(context, this, server, plainTerms(server), boundary, this);
         current = Optional.of(relay);
         relay.send();
     }
