--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StageDemand.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StageDemand.java
@@ -27,8 +27,14 @@
     /** Weight of the newest sample: about the last fifty requests count. */
     private static final double SAMPLE_WEIGHT = 0.02;
 
-    /** How fast the least reading time is forgotten, by sample; a queue must not pass for work. */
-    private static final double FORGET = 1.005;
+    /**
+     * Quantile of the reading times that counts as work: most others contain a wait at the server,
+     * and a few are far too short, since the server had kept the prompt.
+     */
+    private static final double WORK_QUANTILE = 0.1;
+
+    /** Step of the quantile's estimate by sample, relative to its value. */
+    private static final double QUANTILE_STEP = 0.05;
 
     private double promptTokens = USUAL_PROMPT_TOKENS;
     private double heldTokens = USUAL_HELD_TOKENS;
@@ -44,7 +50,9 @@
     public void prefilled(long tokens, long millis) {
         promptTokens += SAMPLE_WEIGHT * (tokens - promptTokens);
         double perToken = (double) Math.max(1, millis) / Math.max(1, tokens);
-        millisPerToken = Math.min(millisPerToken * FORGET, perToken);
+        boolean below = perToken < millisPerToken;
+        double step = below ? -QUANTILE_STEP * (1 - WORK_QUANTILE) : QUANTILE_STEP * WORK_QUANTILE;
+        millisPerToken *= 1 + step;
     }
 
     /**
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StageDemandTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StageDemandTest.java
@@ -56,6 +56,18 @@
         assertThat(demand.prefillShare(terms(48, 42_000))).isLessThan(before * 1.1);
     }
 
+    @Test
+    void promptsThatAServerHadKeptDoNotPassForFastReading() {
+        for (int i = 0; i < 100; i++) {
+            demand.prefilled(3_000, 110 + i % 10 * 20);
+        }
+        double before = demand.prefillShare(terms(48, 42_000));
+        for (int i = 0; i < 5; i++) {
+            demand.prefilled(3_000, 5);
+        }
+        assertThat(demand.prefillShare(terms(48, 42_000))).isGreaterThan(before * 0.8);
+    }
+
     private static EngineTerms terms(int slots, long tokens) {
         return new EngineTerms(slots, tokens, 500, 6_000, 2_000, false);
     }
