--- a/integration/src/test/java/dev/foxtailshed/integration/DaemonProcessIT.java
+++ b/integration/src/test/java/dev/foxtailshed/integration/DaemonProcessIT.java
@@ -84,12 +84,17 @@
                 process.awaitReady();
                 process.terminate();
                 process.awaitExit();
-                JsonObject first =
-                        JsonParser.parseString(process.errors().lines().findFirst().orElseThrow())
-                                .getAsJsonObject();
+                List<String> logged =
+                        process.output()
+                                .lines()
+                                .filter(line -> !line.startsWith("ready entry "))
+                                .toList();
+                JsonObject first = JsonParser.parseString(logged.get(0)).getAsJsonObject();
                 assertThat(first.get("event").getAsInt()).isEqualTo(1001);
                 assertThat(first.get("role").getAsString()).isEqualTo("entry");
-                assertThat(process.errors().lines()).allMatch(line -> line.startsWith("{"));
+                assertThat(logged).allMatch(line -> line.startsWith("{"));
+                assertThat(process.output().lines()).hasSize(logged.size() + 1);
+                assertThat(process.errors()).isEmpty();
             }
         }
     }
