Serve short requests while a shutdown waits for its streams

Refusals before the flow of a request left no log line, which hid them.

Each early refusal is logged (E5009).

Ruled out: the slow store of that moment; restarted entries were ready 0.1 s after their store calls.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -1,12 +1,10 @@
 package dev.foxtailshed.daemon.internal.direct;
 
-import dev.foxtailshed.daemon.hosting.CallerProtocol;
 import dev.foxtailshed.daemon.internal.http.BodyAccumulator;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.ErrorBody;
 import dev.foxtailshed.daemon.internal.http.HopByHopHeaders;
-import dev.foxtailshed.daemon.internal.http.InFlight;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.direct.CallerTerms;
@@ -17,7 +15,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
@@ -32,118 +29,121 @@
 
     private final DirectContext context;
     private final FlowFactory flows;
-    private final InFlight inFlight;
-    private final BooleanSupplier closing;
+    private final ShutdownGate gate;
 
     /** Makes the flow that fits a request. */
     interface FlowFactory {
         DirectFlow create(CallerRequest request, CallerStream caller);
     }
 
-    DirectEndpoint(
-            DirectContext context, FlowFactory flows, InFlight inFlight, BooleanSupplier closing) {
+    DirectEndpoint(DirectContext context, FlowFactory flows, ShutdownGate gate) {
         this.context = context;
         this.flows = flows;
-        this.inFlight = inFlight;
-        this.closing = closing;
+        this.gate = gate;
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedMillis = context.timer().nowMillis();
+        CallerTerms terms = context.platform().callers().read(request.getHeaders());
+        Refusal refusal = new Refusal(terms.attemptId(), request, response, callback);
         Optional<RouteTable> routes = context.view().routes();
-        if (closing.getAsBoolean()) {
-            RequestFailure failure =
-                    RequestFailure.notRun(ErrorCode.DRAINING, "the instance is shutting down");
-            ErrorBody.writeWithFractions(response, failure.retryAfter(0), callback);
+        if (gate.isClosed()) {
+            refuseDraining(refusal);
             return true;
         }
         if (routes.isEmpty()) {
-            RequestFailure failure =
+            refuse(
+                    refusal,
                     RequestFailure.notRun(
-                            ErrorCode.NO_MANIFEST, "no routing configuration has been read yet");
-            ErrorBody.writeWithFractions(
-                    response, failure.retryAfter(STARTING_RETRY_MILLIS), callback);
+                                    ErrorCode.NO_MANIFEST,
+                                    "no routing configuration has been read yet")
+                            .retryAfter(STARTING_RETRY_MILLIS));
             return true;
         }
         Optional<DirectRoute> route =
                 routes.get().match(hostOf(request), request.getHttpURI().getPath());
         if (route.isEmpty()) {
             String where = hostOf(request) + request.getHttpURI().getPath();
-            refuse(response, callback, ErrorCode.NOT_FOUND, "no route matches " + where);
+            refuse(refusal, ErrorCode.NOT_FOUND, "no route matches " + where);
             return true;
         }
-        readBody(request, response, callback, routes.get(), route.get(), arrivedMillis);
+        readBody(refusal, new Arrival(terms, routes.get(), route.get(), arrivedMillis));
         return true;
     }
 
-    private void readBody(
-            Request request,
-            Response response,
-            Callback callback,
-            RouteTable routes,
-            DirectRoute route,
-            long arrivedMillis) {
-        int maximumBytes = routes.limits().maximumBodyBytes();
-        if (request.getLength() > maximumBytes) {
-            refuseTooLarge(response, callback, maximumBytes);
+    /** The head of a request, matched with the routes in force when it came. */
+    private record Arrival(
+            CallerTerms terms, RouteTable routes, DirectRoute route, long arrivedMillis) {
+
+        long deadlineMillis() {
+            long limitMillis = route.timeoutMillis();
+            return arrivedMillis
+                    + Math.min(limitMillis, terms.deadlineMillis().orElse(limitMillis));
+        }
+    }
+
+    /** What it takes to answer a request that is refused before its flow starts. */
+    private record Refusal(
+            Optional<String> requestId, Request request, Response response, Callback callback) {
+
+        Refusal with(Callback other) {
+            return new Refusal(requestId, request, response, other);
+        }
+    }
+
+    private void readBody(Refusal refusal, Arrival arrival) {
+        int maximumBytes = arrival.routes().limits().maximumBodyBytes();
+        if (refusal.request().getLength() > maximumBytes) {
+            refuseTooLarge(refusal, maximumBytes);
+            return;
+        }
+        Optional<Runnable> exit = gate.enter(arrival.deadlineMillis());
+        if (exit.isEmpty()) {
+            refuseDraining(refusal);
             return;
         }
-        inFlight.enter();
-        Callback leaving = Callback.from(callback, inFlight::exit);
-        CompletableFuture<Optional<byte[]>> whole = BodyAccumulator.read(request, maximumBytes);
+        Refusal counted = refusal.with(Callback.from(refusal.callback(), exit.get()));
+        CompletableFuture<Optional<byte[]>> whole =
+                BodyAccumulator.read(refusal.request(), maximumBytes);
         whole.whenComplete(
                 (body, failure) -> {
                     if (failure != null) {
-                        refuse(
-                                response,
-                                leaving,
-                                ErrorCode.INVALID_REQUEST,
-                                "the body could not be read: " + failure);
+                        String message = "the body could not be read: " + failure;
+                        refuse(counted, ErrorCode.INVALID_REQUEST, message);
                     } else if (body.isEmpty()) {
-                        refuseTooLarge(response, leaving, maximumBytes);
+                        refuseTooLarge(counted, maximumBytes);
                     } else {
-                        open(request, response, leaving, routes, route, arrivedMillis, body.get());
+                        open(counted, arrival, body.get());
                     }
                 });
     }
 
-    private void open(
-            Request request,
-            Response response,
-            Callback callback,
-            RouteTable routes,
-            DirectRoute route,
-            long arrivedMillis,
-            byte[] body) {
-        CallerProtocol protocol = context.platform().callers();
-        CallerTerms terms = protocol.read(request.getHeaders());
-        if (terms.attemptId().isEmpty()) {
-            refuse(response, callback, ErrorCode.INVALID_REQUEST, "the request has no id");
+    private void open(Refusal refusal, Arrival arrival, byte[] body) {
+        if (refusal.requestId().isEmpty()) {
+            refuse(refusal, ErrorCode.INVALID_REQUEST, "the request has no id");
             return;
         }
-        String name = route.pickService(context.random().getAsDouble());
+        Request request = refusal.request();
+        String name = arrival.route().pickService(context.random().getAsDouble());
         DirectService service =
-                routes.service(name)
+                arrival.routes()
+                        .service(name)
                         .orElse(new DirectService(name, Integer.MAX_VALUE, Optional.empty()));
-        long limitMillis =
-                Math.min(
-                        route.timeoutMillis(),
-                        terms.deadlineMillis().orElse(route.timeoutMillis()));
         CallerRequest read =
                 new CallerRequest(
-                        terms.attemptId().get(),
+                        refusal.requestId().get(),
                         request.getMethod(),
                         request.getHttpURI().getPathQuery(),
                         HopByHopHeaders.ofRequestForHost(request.getHeaders()),
                         body,
-                        terms,
-                        route,
+                        arrival.terms(),
+                        arrival.route(),
                         service,
-                        routes.version(),
-                        arrivedMillis,
-                        arrivedMillis + limitMillis);
-        start(read, request, response, callback);
+                        arrival.routes().version(),
+                        arrival.arrivedMillis(),
+                        arrival.deadlineMillis());
+        start(read, request, refusal.response(), refusal.callback());
     }
 
     private void start(CallerRequest read, Request request, Response response, Callback callback) {
@@ -181,16 +181,23 @@
         return Optional.ofNullable(headers.get(HttpHeader.HOST)).orElse("");
     }
 
-    private static void refuseTooLarge(Response response, Callback callback, int maximumBytes) {
+    private void refuseTooLarge(Refusal refusal, int maximumBytes) {
+        refuse(refusal, ErrorCode.TOO_LARGE, "the body is larger than " + maximumBytes + " bytes");
+    }
+
+    private void refuseDraining(Refusal refusal) {
         refuse(
-                response,
-                callback,
-                ErrorCode.TOO_LARGE,
-                "the body is larger than " + maximumBytes + " bytes");
+                refusal,
+                RequestFailure.notRun(ErrorCode.DRAINING, "the instance is shutting down")
+                        .retryAfter(0));
+    }
+
+    private void refuse(Refusal refusal, ErrorCode code, String message) {
+        refuse(refusal, RequestFailure.notRun(code, message));
     }
 
-    private static void refuse(
-            Response response, Callback callback, ErrorCode code, String message) {
-        ErrorBody.write(response, RequestFailure.notRun(code, message), callback);
+    private void refuse(Refusal refusal, RequestFailure failure) {
+        context.journal().refused(refusal.requestId(), context.view().routes(), failure);
+        ErrorBody.writeWithFractions(refusal.response(), failure, refusal.callback());
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -4,13 +4,10 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.foxtailshed.daemon.hosting.HostingPlatform;
 import dev.foxtailshed.daemon.hosting.SharedStore;
-import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
-import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.daemon.internal.http.BackendHttp;
 import dev.foxtailshed.daemon.internal.http.EndpointChain;
 import dev.foxtailshed.daemon.internal.http.HttpConnectors;
-import dev.foxtailshed.daemon.internal.http.InFlight;
 import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
 import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
 import dev.foxtailshed.daemon.internal.http.MetricsTextEndpoint;
@@ -28,10 +25,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.DoubleSupplier;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
@@ -75,7 +69,7 @@
     private final QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
     private final ExecutorTimerService timer = new ExecutorTimerService();
     private final HttpClient httpClient = BackendHttp.newClient();
-    private final InFlight inFlight = new InFlight();
+    private final ShutdownGate gate = new ShutdownGate(timer);
     private final MetricRegistry registry = new MetricRegistry();
     private final Server callers = new Server(threads);
     private final Server control = new Server(threads);
@@ -85,7 +79,6 @@
     private final DirectFlows flows;
     private final StageCoordinator coordinator;
     private volatile boolean leaving;
-    private volatile boolean closing;
 
     DirectEntry(DirectSettings first, HostingPlatform platform, Path file) {
         settings = new SettingsWatcher(file, first);
@@ -119,8 +112,7 @@
         }
         callers.setHandler(
                 new EndpointChain(
-                        List.of(new DirectEndpoint(context, flows, inFlight, () -> closing)),
-                        () -> leaving));
+                        List.of(new DirectEndpoint(context, flows, gate)), () -> leaving));
         control.setHandler(
                 new EndpointChain(
                         List.of(
@@ -166,22 +158,11 @@
 
     @Override
     public void drainAndClose() throws InterruptedException {
-        long endNanos =
-                System.nanoTime()
-                        + TimeUnit.MILLISECONDS.toNanos(
-                                settings.get().graceMillis() - EXIT_MARGIN_MILLIS);
+        long endMillis = timer.nowMillis() + settings.get().graceMillis() - EXIT_MARGIN_MILLIS;
         leaving = true;
         // The balancer goes on sending until it has seen "not ready" twice.
         Thread.sleep(Math.min(BALANCER_NOTICE_MILLIS, settings.get().graceMillis() / 2));
-        // What comes now on connections kept from before could not end within the grace.
-        closing = true;
-        try {
-            inFlight.idle().get(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
-        } catch (TimeoutException e) {
-            EventLog.log(EventCode.DRAIN_EXPIRED, Field.of("requestsInFlight", inFlight.count()));
-        } catch (ExecutionException e) {
-            EventLog.unexpected("drain", e);
-        }
+        gate.close(endMillis);
         view.close();
         timer.close();
         stop();
@@ -209,7 +190,7 @@
     }
 
     private void registerGauges() {
-        Gauge<Integer> running = inFlight::count;
+        Gauge<Integer> running = gate::count;
         registry.register("requests.inFlight", running);
         Gauge<Integer> waiting = flows::waiting;
         registry.register("streams.waiting", waiting);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectJournal.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectJournal.java
@@ -7,6 +7,8 @@
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.direct.CallOutcome;
+import dev.foxtailshed.kernel.direct.RouteTable;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Logs and counts what happens to requests: one line for each decision. Thread-safe. */
@@ -115,6 +117,19 @@
                 Field.of("remainingMillis", request.deadlineMillis() - timer.nowMillis()));
     }
 
+    /** A request was refused before a flow was started for it. */
+    void refused(Optional<String> id, Optional<RouteTable> routes, RequestFailure failure) {
+        registry.counter("failures." + failure.code().label()).inc();
+        EventLog.log(
+                EventCode.REQUEST_REFUSED,
+                Field.of("request", id.orElse("none")),
+                Field.of("routesVersion", routes.map(RouteTable::version).orElse(-1L)),
+                Field.of("code", failure.code().label()),
+                Field.of("verdict", failure.verdict().label()),
+                Field.of("message", failure.message()),
+                Field.of("retryAfterMillis", failure.retryAfterMillis().orElse(-1)));
+    }
+
     /** A request goes on with another attempt. */
     void retried(CallerRequest request, CallOutcome outcome, int attempts) {
         registry.counter("retries").inc();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -83,6 +83,7 @@
     ATTEMPT_FAILED(5006, Level.INFO, "An attempt at a backend server failed."),
     STREAM_STARTED(5007, Level.INFO, "A model server sent the first event of a stream."),
     STREAM_ENDED(5008, Level.INFO, "A stream of a model server ended as complete."),
+    REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     /** A suspect was refused. */
     SUSPECT_REFUSED(5005, Level.WARN, "A request that crashed two backend servers was refused."),
