Let prompts wait at the entry instead of at a prefill server

An entry now keeps only its share of half an objective under way at each prefill server; the rest waits in the admission queue, where those that can be in time come first and the others are rejected.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -15,9 +15,10 @@
 /**
  * Reserves decode capacity of one service for the requests of this entry, one queue for all.
  *
- * <p>Only the first in the queue asks a server, so waiting requests do not multiply calls. The
- * queue moves when a request of this entry ends, when one arrives, and on a short tick for capacity
- * that other entries free. Runs on the entry's loop.
+ * <p>Only the first in the queue asks a server, so waiting requests do not multiply calls, and only
+ * once a prefill server has room for its prompt. The queue moves when a prompt was read, when a
+ * request of this entry ends or arrives, and on a short tick for capacity that other entries free.
+ * Runs on the entry's loop.
  */
 final class DecodeReservations {
 
@@ -117,6 +118,11 @@
         pump();
     }
 
+    /** Notes that a prefill server has room for another prompt. */
+    void prefillEnded() {
+        pump();
+    }
+
     /** Moves the queue and refuses those whose time is up. */
     void tick() {
         List<ModelFlow> expired = queue.expire(context.timer().nowMillis());
@@ -146,6 +152,9 @@
                 return;
             }
             Waiter<ModelFlow> waiter = queue.peek().get();
+            if (!waiter.item().claimPrefill()) {
+                return;
+            }
             queue.remove(waiter);
             ask(waiter, server.get());
         }
@@ -224,6 +233,7 @@
             return;
         }
         asking--;
+        waiter.item().releasePrefillClaim();
         long nowMillis = context.timer().nowMillis();
         capacity.refused(server, nowMillis);
         if (!reply.isAnswer()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -102,7 +102,7 @@
                         new RepeatBudgets(name -> newBudget()),
                         new DirectJournal(registry, timer, view::servers),
                         random);
-        flows = new DirectFlows(context, first.zone());
+        flows = new DirectFlows(context, first.zone(), this::entries);
         coordinator = newCoordinator(context, store, first);
         connector =
                 HttpConnectors.addForwarding(callers, first.callerAddress(), MAXIMUM_HEAD_BYTES);
@@ -206,10 +206,14 @@
         return !leaving && view.isComplete();
     }
 
+    private int entries() {
+        return membership.count().orElse(ASSUMED_ENTRIES);
+    }
+
     private RepeatBudget newBudget() {
         return new RepeatBudget(
                 settings.get().repeatRatio(),
-                () -> settings.get().repeatReserve() / membership.count().orElse(ASSUMED_ENTRIES),
+                () -> settings.get().repeatReserve() / entries(),
                 settings.get().repeatWindowMillis());
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 
 /** Makes the flow that fits a request, and keeps what flows share. Runs on the entry's loop. */
 final class DirectFlows implements DirectEndpoint.FlowFactory {
@@ -23,13 +24,15 @@
 
     private final DirectContext context;
     private final String zone;
+    private final IntSupplier entries;
     private final EngineControl control;
     private final ServerSelector selector;
     private final Map<String, ModelService> models = new HashMap<>();
     private long lastRequestMillis = Long.MIN_VALUE / 2;
     private volatile int waiting;
 
-    DirectFlows(DirectContext context, String zone) {
+    DirectFlows(DirectContext context, String zone, IntSupplier entries) {
+        this.entries = entries;
         this.context = context;
         this.zone = zone;
         this.control = new EngineControl(context);
@@ -84,7 +87,8 @@
                                 key,
                                 new DecodeReservations(
                                         context, control, key, new DecodeCapacity(zone)),
-                                new PrefillSelector(zone)));
+                                new PrefillSelector(zone),
+                                entries));
     }
 
     private void tick() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -11,6 +11,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.EventBoundary;
 import dev.foxtailshed.kernel.direct.NextStep;
+import dev.foxtailshed.kernel.direct.PrefillSelector;
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Optional;
@@ -34,6 +35,7 @@
     private final EventBoundary boundary = new EventBoundary();
     private Optional<Waiter<ModelFlow>> waiter = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
+    private Optional<DirectServer> claimed = Optional.empty();
     private Optional<BackendCall> prefill = Optional.empty();
     private Optional<CachedPrompt> cached = Optional.empty();
     private Optional<StreamRelay> relay = Optional.empty();
@@ -93,6 +95,22 @@
         return service.reservationMillis();
     }
 
+    /** Claims a place at a prefill server; false if the prompt has to wait for one. */
+    boolean claimPrefill() {
+        if (cached.isPresent() || claimed.isPresent()) {
+            return true;
+        }
+        Optional<PrefillSelector.Claim> claim = service.claimPrefill(request, demand, prefillTried);
+        claimed = claim.flatMap(PrefillSelector.Claim::server);
+        return claim.isPresent();
+    }
+
+    /** Gives the place at the prefill server back, since there is no decode capacity yet. */
+    void releasePrefillClaim() {
+        claimed.ifPresent(server -> service.prefillSelector().ended(server, demand.promptTokens()));
+        claimed = Optional.empty();
+    }
+
     /** Its time in the queue is up. */
     void waitTimeExpired() {
         waiter = Optional.empty();
@@ -117,8 +135,11 @@
     }
 
     private void readPrompt() {
+        Optional<DirectServer> place = claimed;
+        releasePrefillClaim();
         Optional<DirectServer> server =
-                service.choosePrefill(prefillTried, context.timer().nowMillis());
+                place.filter(service::isUsable)
+                        .or(() -> service.choosePrefill(prefillTried, context.timer().nowMillis()));
         if (server.isEmpty()) {
             stream();
             return;
@@ -140,6 +161,7 @@
     private void prefilled(DirectServer server, Optional<String> handle, CallOutcome outcome) {
         prefill = Optional.empty();
         service.prefillSelector().ended(server, demand.promptTokens());
+        service.reservations().prefillEnded();
         if (isFinished()) {
             handle.ifPresent(unused -> service.releaseCache(server, unused));
         } else if (handle.isPresent()) {
@@ -247,6 +269,7 @@
     void cancelWork() {
         waiter.ifPresent(service.reservations()::leave);
         waiter = Optional.empty();
+        releasePrefillClaim();
         prefill.ifPresent(BackendCall::cancel);
         relay.ifPresent(StreamRelay::cancel);
         releaseAll();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -5,10 +5,12 @@
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
 import dev.foxtailshed.kernel.direct.FirstEventTimes;
+import dev.foxtailshed.kernel.direct.PrefillAllowance;
 import dev.foxtailshed.kernel.direct.PrefillSelector;
 import dev.foxtailshed.kernel.direct.StageDemand;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 /** What the requests to one model service share at this entry. Runs on the entry's loop. */
 final class ModelService {
@@ -41,13 +43,17 @@
     private final PrefillSelector prefillSelector;
     private final FirstEventTimes times = new FirstEventTimes();
     private final StageDemand demand = new StageDemand();
+    private final PrefillAllowance allowance = new PrefillAllowance();
+    private final IntSupplier entries;
 
     ModelService(
             DirectContext context,
             EngineControl control,
             String name,
             DecodeReservations reservations,
-            PrefillSelector prefillSelector) {
+            PrefillSelector prefillSelector,
+            IntSupplier entries) {
+        this.entries = entries;
         this.context = context;
         this.control = control;
         this.name = name;
@@ -67,6 +73,22 @@
         return prefillSelector;
     }
 
+    /** Claims a place at a prefill server; empty if the prompt has to wait. */
+    Optional<PrefillSelector.Claim> claimPrefill(
+            CallerRequest request, ModelDemand prompt, Set<Incarnation> tried) {
+        long limitTokens =
+                allowance.tokens(
+                        request.route().targetLatencyMillis(),
+                        demand.millisPerToken(),
+                        entries.getAsInt());
+        return prefillSelector.claim(
+                context.view().servers().of(name, Stage.PREFILL),
+                tried,
+                context.health(),
+                context.timer().nowMillis(),
+                new PrefillSelector.Prompt(prompt.promptTokens(), limitTokens));
+    }
+
     Optional<DirectServer> choosePrefill(Set<Incarnation> tried, long nowMillis) {
         return prefillSelector.choose(
                 context.view().servers().of(name, Stage.PREFILL),
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.kernel.direct;
 
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,8 +11,12 @@
 /**
  * Chooses the server that reads a prompt: the one with the fewest tokens of this entry under way.
  *
- * <p>Answers servers whose handles lapse before they can be used: each prompt that they read is
- * wasted. Such a server is left alone, for longer each time, until a handle of it is used. Not
+ * <p>Answers prompts that queue at the last prefill servers: a queue there is served in the order
+ * of arrival and makes all of them late, so an entry keeps only a limited number of tokens under
+ * way at each server, and the rest waits at the entry, where those that can be in time come first.
+ *
+ * <p>Also answers servers whose handles lapse before they can be used: each prompt that they read
+ * is wasted. Such a server is left alone, for longer each time, until a handle of it is used. Not
  * thread-safe.
  */
 public final class PrefillSelector {
@@ -51,22 +56,78 @@
      */
     public Optional<DirectServer> choose(
             List<DirectServer> servers, Set<Incarnation> tried, HealthBoard board, long nowMillis) {
-        DirectServer best = null;
-        long bestTokens = Long.MAX_VALUE;
-        for (DirectServer server : servers) {
-            if (tried.contains(server.incarnation())
-                    || isAvoided(server, nowMillis)
-                    || !board.of(server).isEligible(nowMillis)) {
-                continue;
-            }
-            long busy = tokens.getOrDefault(server.incarnation(), 0L);
-            busy += server.zone().equals(zone) ? 0 : OTHER_ZONE_TOKENS;
-            if (busy < bestTokens) {
-                bestTokens = busy;
-                best = server;
-            }
+        return leastBusy(eligible(servers, tried, board, nowMillis));
+    }
+
+    /**
+     * Claims a place for a prompt before decode capacity is reserved for it.
+     *
+     * @param servers the prefill servers
+     * @param tried servers to leave out
+     * @param board the servers' health
+     * @param nowMillis the time
+     * @param prompt what is to be read, and how much may be under way at one server
+     * @return the claim, or nothing if the prompt has to wait
+     */
+    public Optional<Claim> claim(
+            List<DirectServer> servers,
+            Set<Incarnation> tried,
+            HealthBoard board,
+            long nowMillis,
+            Prompt prompt) {
+        List<DirectServer> eligible = eligible(servers, tried, board, nowMillis);
+        if (eligible.isEmpty()) {
+            return Optional.of(new Claim(Optional.empty()));
         }
-        return Optional.ofNullable(best);
+        List<DirectServer> withRoom = eligible.stream().filter(s -> hasRoom(s, prompt)).toList();
+        Optional<DirectServer> server = leastBusy(withRoom);
+        server.ifPresent(chosen -> started(chosen, prompt.tokens()));
+        return server.map(chosen -> new Claim(server));
+    }
+
+    /**
+     * A prompt that is to be read.
+     *
+     * @param tokens its size
+     * @param limitTokens the most tokens of this entry that may be under way at one server; a
+     *     single prompt may be larger
+     */
+    public record Prompt(long tokens, long limitTokens) {}
+
+    /**
+     * A place for a prompt.
+     *
+     * @param server the server that reads it, absent if no prefill server is eligible
+     */
+    public record Claim(Optional<DirectServer> server) {}
+
+    private boolean hasRoom(DirectServer server, Prompt prompt) {
+        long busy = busyTokens(server);
+        return busy == 0 || busy + prompt.tokens() <= prompt.limitTokens();
+    }
+
+    private List<DirectServer> eligible(
+            List<DirectServer> servers, Set<Incarnation> tried, HealthBoard board, long nowMillis) {
+        return servers.stream()
+                .filter(server -> !tried.contains(server.incarnation()))
+                .filter(server -> !isAvoided(server, nowMillis))
+                .filter(server -> board.of(server).isEligible(nowMillis))
+                .toList();
+    }
+
+    private Optional<DirectServer> leastBusy(List<DirectServer> servers) {
+        return servers.stream()
+                .min(
+                        Comparator.comparingLong(
+                                server ->
+                                        busyTokens(server)
+                                                + (server.zone().equals(zone)
+                                                        ? 0
+                                                        : OTHER_ZONE_TOKENS)));
+    }
+
+    private long busyTokens(DirectServer server) {
+        return tokens.getOrDefault(server.incarnation(), 0L);
     }
 
     /**
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StageDemand.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StageDemand.java
@@ -66,6 +66,15 @@
         streamMillis += SAMPLE_WEIGHT * (millis - streamMillis);
     }
 
+    /**
+     * Returns how long a prefill server works on a token.
+     *
+     * @return milliseconds, without waits at the server
+     */
+    public double millisPerToken() {
+        return millisPerToken;
+    }
+
     /**
      * Returns the share of servers that should read prompts.
      *
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/PrefillSelectorTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/PrefillSelectorTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import dev.foxtailshed.kernel.direct.PrefillSelector.Claim;
+import dev.foxtailshed.kernel.direct.PrefillSelector.Prompt;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -39,6 +42,35 @@
         assertThat(selector.choose(List.of(first), Set.of(), board, 1_499)).contains(first);
     }
 
+    @Test
+    void promptWaitsWhileEveryServerHasItsShareUnderWay() {
+        Prompt prompt = new Prompt(2_000, 3_000);
+        assertThat(claim(prompt)).contains(new Claim(Optional.of(first)));
+        assertThat(claim(prompt)).contains(new Claim(Optional.of(second)));
+        assertThat(claim(prompt)).isEmpty();
+        assertThat(claim(new Prompt(1_000, 3_000))).isPresent();
+
+        selector.ended(second, 2_000);
+
+        assertThat(claim(prompt)).contains(new Claim(Optional.of(second)));
+    }
+
+    @Test
+    void promptAboveTheLimitIsReadAtAnIdleServer() {
+        assertThat(claim(new Prompt(6_000, 3_000))).contains(new Claim(Optional.of(first)));
+    }
+
+    @Test
+    void withoutAnEligibleServerNothingIsWaitedFor() {
+        selector.handleLapsed(first, 0);
+        selector.handleLapsed(second, 0);
+        assertThat(claim(new Prompt(2_000, 3_000))).contains(new Claim(Optional.empty()));
+    }
+
+    private Optional<Claim> claim(Prompt prompt) {
+        return selector.claim(both, Set.of(), board, 0, prompt);
+    }
+
     /** Replays handles that lapse at once at one of two servers, for four seconds. */
     @Test
     void fewPromptsAreWasted() {
