--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -235,7 +235,7 @@
         asking--;
         waiter.item().releasePrefillClaim();
         long nowMillis = context.timer().nowMillis();
-        capacity.refused(server, nowMillis);
+        capacity.refused(server, queue.size() + 1, nowMillis);
         if (!reply.isAnswer()) {
             context.health().of(server).unanswered(nowMillis);
         }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeCapacity.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeCapacity.java
@@ -14,13 +14,18 @@
  * <p>Answers a full pool seen through a narrow window: each entry knows only its own requests, and
  * a server's refusal is the one exact sign that it is full. A refused server is left alone for a
  * short pause or until one of this entry's requests ends there; among the others, the one with the
- * fewest tokens of this entry comes first. Not thread-safe.
+ * fewest tokens of this entry comes first. What ends at a full server goes to the entry that asks
+ * next, so the pause is shorter the more requests wait: an entry with twice the arrivals asks twice
+ * as often. Not thread-safe.
  */
 public final class DecodeCapacity {
 
     /** Pause after a refusal, about the time in which one of a full server's streams ends. */
     private static final long REFUSAL_PAUSE_MILLIS = 60;
 
+    /** Shortest pause, several times the way to a server and back. */
+    private static final long SHORTEST_PAUSE_MILLIS = 10;
+
     /** Tokens that a server in another zone counts as fuller; a tie should stay in the zone. */
     private static final long OTHER_ZONE_TOKENS = 1_500;
 
@@ -92,12 +97,14 @@
      * Notes a refusal.
      *
      * @param server the server
+     * @param waiting how many requests of this entry wait for capacity
      * @param nowMillis the time
      */
-    public void refused(DirectServer server, long nowMillis) {
+    public void refused(DirectServer server, int waiting, long nowMillis) {
         Use use = use(server);
         use.asking = false;
-        use.closedUntilMillis = nowMillis + REFUSAL_PAUSE_MILLIS;
+        long pauseMillis = REFUSAL_PAUSE_MILLIS / Math.max(1, waiting);
+        use.closedUntilMillis = nowMillis + Math.max(SHORTEST_PAUSE_MILLIS, pauseMillis);
     }
 
     /**
--- /dev/null
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/DecodeCapacityTest.java
@@ -0,0 +1,67 @@
+package dev.foxtailshed.kernel.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests which decode server is asked for a reservation. */
+class DecodeCapacityTest {
+
+    private final DirectServer only = Servers.model("d-1", Stage.DECODE);
+    private final HealthBoard board = new HealthBoard();
+    private final DecodeCapacity capacity = new DecodeCapacity("a");
+
+    @ParameterizedTest
+    @CsvSource({"1, 60", "2, 30", "4, 15", "40, 10"})
+    void aFullServerIsAskedAgainSoonerTheMoreRequestsWait(int waiting, long pauseMillis) {
+        capacity.refused(only, waiting, 1_000);
+        assertThat(asked(1_000 + pauseMillis - 1)).isEmpty();
+        assertThat(asked(1_000 + pauseMillis)).contains(only);
+    }
+
+    /**
+     * Replays a full server whose streams end every 40 ms, and two entries, one of which has three
+     * times the other's arrivals.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void theBusierEntryGetsMoreOfWhatOthersFree(long seed) {
+        Random random = new Random(seed);
+        DecodeCapacity[] entries = {new DecodeCapacity("a"), new DecodeCapacity("a")};
+        int[] waiting = {6, 2};
+        int[] granted = new int[2];
+        int free = 0;
+        long[] nextLook = {0, 7};
+        for (long now = 0; now < 20_000; now++) {
+            free += random.nextInt(40) == 0 ? 1 : 0;
+            for (int i = 0; i < 2; i++) {
+                if (now < nextLook[i]) {
+                    continue;
+                }
+                nextLook[i] = now + 5;
+                if (entries[i].choose(List.of(only), Set.of(), board, now).isEmpty()) {
+                    continue;
+                }
+                if (free > 0) {
+                    free--;
+                    granted[i]++;
+                } else {
+                    entries[i].refused(only, waiting[i], now);
+                }
+            }
+        }
+        // With the same pause for both it is half for each.
+        assertThat(granted[0]).isGreaterThan(granted[1] * 3 / 2);
+    }
+
+    private Optional<DirectServer> asked(long nowMillis) {
+        return capacity.choose(List.of(only), Set.of(), board, nowMillis);
+    }
+}
