Replace a model server that announced its leaving after a second

Cause: a stage that lost a server for good waited 8 s for its return, which is the time for crashes. A server that reports that it leaves never comes back, and a replacement starts before.

Ruled out: acting at once on every loss, since a release starts the new server shortly before and a crashed one is back within seconds.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -138,7 +138,9 @@
 
     private void publishServers(long revision) {
         List<DirectServer> before = servers.get().all();
-        servers.set(ServerCatalog.of(revision, timer.nowMillis(), directory.usable()));
+        servers.set(
+                ServerCatalog.of(
+                        revision, timer.nowMillis(), directory.usable(), directory.leaving()));
         List<DirectServer> after = servers.get().all();
         if (!after.equals(before)) {
             logChanges(before, after, revision);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ServerCatalog.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ServerCatalog.java
@@ -15,16 +15,30 @@
  * @param revision the store's revision at which it was read
  * @param readMillis when it was read
  * @param byService the servers by service
+ * @param leavingByService servers that announced that they leave, by service
  */
-record ServerCatalog(long revision, long readMillis, Map<String, List<DirectServer>> byService) {
+record ServerCatalog(
+        long revision,
+        long readMillis,
+        Map<String, List<DirectServer>> byService,
+        Map<String, List<DirectServer>> leavingByService) {
+
+    static final ServerCatalog EMPTY = new ServerCatalog(0, 0, Map.of(), Map.of());
+
+    static ServerCatalog of(
+            long revision,
+            long readMillis,
+            List<DirectServer> servers,
+            List<DirectServer> leaving) {
+        return new ServerCatalog(revision, readMillis, byService(servers), byService(leaving));
+    }
 
-    static final ServerCatalog EMPTY = new ServerCatalog(0, 0, Map.of());
+    private static Map<String, List<DirectServer>> byService(List<DirectServer> servers) {
+        return servers.stream().collect(Collectors.groupingBy(DirectServer::service));
+    }
 
-    static ServerCatalog of(long revision, long readMillis, List<DirectServer> servers) {
-        return new ServerCatalog(
-                revision,
-                readMillis,
-                servers.stream().collect(Collectors.groupingBy(DirectServer::service)));
+    List<DirectServer> leaving(String service) {
+        return leavingByService.getOrDefault(service, List.of());
     }
 
     List<DirectServer> of(String service) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -80,7 +80,11 @@
         double prefillShare = demands.apply(service).prefillShare(engine);
         Optional<Change> change =
                 planner.decide(
-                        servers, prefillShare, loaded.getAsBoolean(), context.timer().nowMillis());
+                        servers,
+                        context.view().servers().leaving(service),
+                        prefillShare,
+                        loaded.getAsBoolean(),
+                        context.timer().nowMillis());
         if (change.isPresent() && !ordering) {
             ordering = true;
             readState(planner, change.get(), engine);
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
@@ -116,6 +116,15 @@
         return usable;
     }
 
+    /**
+     * Returns the servers whose entries say that they leave.
+     *
+     * @return a new list
+     */
+    public List<DirectServer> leaving() {
+        return present.values().stream().filter(DirectServer::draining).toList();
+    }
+
     private void put(DirectServer server) {
         DirectServer before = present.get(server.id());
         if (before != null && before.startedEpochMillis() > server.startedEpochMillis()) {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Decides when a model server of a service changes its stage.
@@ -23,6 +24,12 @@
     /** How long a change must be wanted under load: longer than a crashed server is away. */
     private static final long LOADED_SETTLE_MILLIS = 8_000;
 
+    /**
+     * The same after servers announced that they leave: they do not come back, and a replacement
+     * starts before.
+     */
+    private static final long ANNOUNCED_SETTLE_MILLIS = 1_000;
+
     /** The same where a stage has no server at all, since every request suffers. */
     private static final long EMPTY_STAGE_SETTLE_MILLIS = 3_000;
 
@@ -33,21 +40,28 @@
     private final Map<Incarnation, Ordered> ordered = new HashMap<>();
     private List<DirectServer> lastSeen = List.of();
     private long unchangedSinceMillis;
+    private boolean announced;
 
     /**
      * Decides on the next change.
      *
      * @param servers the usable servers of the service
+     * @param leaving servers of the service that announced that they leave
      * @param prefillShare the share of servers that should read prompts
      * @param loaded whether requests are being served
      * @param nowMillis the time
      * @return the change to order now
      */
     public Optional<StagePlan.Change> decide(
-            List<DirectServer> servers, double prefillShare, boolean loaded, long nowMillis) {
+            List<DirectServer> servers,
+            List<DirectServer> leaving,
+            double prefillShare,
+            boolean loaded,
+            long nowMillis) {
         ordered.values().removeIf(order -> order.endMillis <= nowMillis);
         List<DirectServer> expected = withOrders(servers);
         if (!expected.equals(lastSeen)) {
+            announced = onlyAnnouncedLosses(lastSeen, expected, leaving);
             lastSeen = expected;
             unchangedSinceMillis = nowMillis;
         }
@@ -81,7 +95,24 @@
         return expected;
     }
 
-    private static long settleMillis(List<DirectServer> servers, boolean loaded) {
+    private static boolean onlyAnnouncedLosses(
+            List<DirectServer> before, List<DirectServer> now, List<DirectServer> leaving) {
+        List<Incarnation> lost = incarnations(before);
+        lost.removeAll(incarnations(now));
+        boolean nothingNew = incarnations(before).containsAll(incarnations(now));
+        return nothingNew && !lost.isEmpty() && incarnations(leaving).containsAll(lost);
+    }
+
+    private static List<Incarnation> incarnations(List<DirectServer> servers) {
+        return servers.stream()
+                .map(DirectServer::incarnation)
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    private long settleMillis(List<DirectServer> servers, boolean loaded) {
+        if (announced) {
+            return ANNOUNCED_SETTLE_MILLIS;
+        }
         if (!loaded) {
             return SETTLE_MILLIS;
         }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
@@ -28,19 +28,20 @@
     @Test
     void aGrowingListIsNotActedOn() {
         for (int count = 1; count <= 6; count++) {
-            assertThat(planner.decide(servers(count, 0), THIRD, false, count * 1_000L)).isEmpty();
+            assertThat(planner.decide(servers(count, 0), List.of(), THIRD, false, count * 1_000L))
+                    .isEmpty();
         }
-        assertThat(planner.decide(servers(6, 0), THIRD, false, 7_999)).isEmpty();
-        assertThat(planner.decide(servers(6, 0), THIRD, false, 8_000)).isPresent();
+        assertThat(planner.decide(servers(6, 0), List.of(), THIRD, false, 7_999)).isEmpty();
+        assertThat(planner.decide(servers(6, 0), List.of(), THIRD, false, 8_000)).isPresent();
     }
 
     @Test
     void withoutLoadAllChangesAreOrderedAtOnce() {
         List<DirectServer> servers = servers(4, 2);
-        planner.decide(servers, THIRD, false, 0);
+        planner.decide(servers, List.of(), THIRD, false, 0);
         List<Change> changes = new ArrayList<>();
         for (long now = 2_000; now < 4_000; now += 500) {
-            Optional<Change> change = planner.decide(servers, THIRD, false, now);
+            Optional<Change> change = planner.decide(servers, List.of(), THIRD, false, now);
             change.ifPresent(changes::add);
             if (change.isPresent()) {
                 planner.ordered(change.get(), SWITCH_MILLIS, now);
@@ -53,33 +54,66 @@
     @Test
     void underLoadOneServerSwitchesAtATimeAndOnlyAfterACrashHadTimeToEnd() {
         List<DirectServer> servers = servers(4, 2);
-        planner.decide(servers, THIRD, true, 0);
-        assertThat(planner.decide(servers, THIRD, true, 7_999)).isEmpty();
-        Change change = planner.decide(servers, THIRD, true, 8_000).orElseThrow();
+        planner.decide(servers, List.of(), THIRD, true, 0);
+        assertThat(planner.decide(servers, List.of(), THIRD, true, 7_999)).isEmpty();
+        Change change = planner.decide(servers, List.of(), THIRD, true, 8_000).orElseThrow();
         planner.ordered(change, SWITCH_MILLIS, 8_000);
-        assertThat(planner.decide(servers, THIRD, true, 8_500)).isEmpty();
+        assertThat(planner.decide(servers, List.of(), THIRD, true, 8_500)).isEmpty();
     }
 
     @Test
     void orderThatIsNotCarriedOutIsGivenAgainAfterItsTime() {
         List<DirectServer> servers = servers(3, 3);
-        planner.decide(servers, THIRD, false, 0);
-        Change first = planner.decide(servers, THIRD, false, 2_000).orElseThrow();
+        planner.decide(servers, List.of(), THIRD, false, 0);
+        Change first = planner.decide(servers, List.of(), THIRD, false, 2_000).orElseThrow();
         planner.ordered(first, SWITCH_MILLIS, 2_000);
-        assertThat(planner.decide(servers, THIRD, false, 10_900)).isEmpty();
-        planner.decide(servers, THIRD, false, 11_100);
-        assertThat(planner.decide(servers, THIRD, false, 13_200)).isPresent();
+        assertThat(planner.decide(servers, List.of(), THIRD, false, 10_900)).isEmpty();
+        planner.decide(servers, List.of(), THIRD, false, 11_100);
+        assertThat(planner.decide(servers, List.of(), THIRD, false, 13_200)).isPresent();
     }
 
     @Test
     void aStageWithoutServersIsFilledSooner() {
         List<DirectServer> decodeOnly = servers(0, 4);
-        planner.decide(decodeOnly, THIRD, true, 0);
-        assertThat(planner.decide(decodeOnly, THIRD, true, 2_999)).isEmpty();
-        assertThat(planner.decide(decodeOnly, THIRD, true, 3_000).map(Change::stage))
+        planner.decide(decodeOnly, List.of(), THIRD, true, 0);
+        assertThat(planner.decide(decodeOnly, List.of(), THIRD, true, 2_999)).isEmpty();
+        assertThat(planner.decide(decodeOnly, List.of(), THIRD, true, 3_000).map(Change::stage))
                 .contains(Stage.PREFILL);
     }
 
+    @ParameterizedTest
+    @CsvSource({"true, 1000", "false, 8000"})
+    void serverThatAnnouncedItsLeavingIsReplacedSoonerThanOneThatMayComeBack(
+            boolean announced, long settleMillis) {
+        List<DirectServer> before = servers(2, 3);
+        DirectServer gone = before.get(1);
+        List<DirectServer> leaving = announced ? List.of(gone) : List.of();
+        List<DirectServer> after = new ArrayList<>(before);
+        after.remove(gone);
+        double share = 0.45;
+        planner.decide(before, List.of(), share, true, 0);
+        assertThat(planner.decide(before, List.of(), share, true, 20_000)).isEmpty();
+
+        assertThat(planner.decide(after, leaving, share, true, 20_500)).isEmpty();
+
+        long dueMillis = 20_500 + settleMillis;
+        assertThat(planner.decide(after, leaving, share, true, dueMillis - 1)).isEmpty();
+        assertThat(planner.decide(after, leaving, share, true, dueMillis).map(Change::stage))
+                .contains(Stage.PREFILL);
+    }
+
+    @Test
+    void serverThatStartedMeanwhileIsGivenTimeToSettle() {
+        List<DirectServer> before = servers(2, 3);
+        List<DirectServer> after = new ArrayList<>(before);
+        DirectServer gone = after.remove(1);
+        after.add(Servers.model("new", Stage.DECODE));
+        planner.decide(before, List.of(), 0.45, true, 0);
+        planner.decide(after, List.of(gone), 0.45, true, 20_000);
+        assertThat(planner.decide(after, List.of(gone), 0.45, true, 27_999)).isEmpty();
+        assertThat(planner.decide(after, List.of(gone), 0.45, true, 28_000)).isPresent();
+    }
+
     @ParameterizedTest
     @CsvSource({"0.28, 2, 2", "0.28, 3, 2", "0.28, 1, 1", "0.20, 2, 1", "0.45, 2, 2", "0.46, 2, 3"})
     void aSplitNearTheWishStays(double share, int current, int expected) {
