Leave a model server alone that reserves capacity and refuses the runs

Cause: a server that changes its stage still grants reservations and refuses each run until the change is complete, 8 to 12 s.

After two refused runs in a row the decode server is left alone for 0.5 s, doubled up to 4 s until one starts, and prefill servers are no longer blamed for it. The entry that ordered the change leaves the server alone at once.

Ruled out: handles that lapse in fact; the refusals began with the order and ended with the new stage. Telling other entries of the order through the store would cost each of them a watch.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -118,6 +118,26 @@
         pump();
     }
 
+    /** Notes that a server refused the run for which it had granted a reservation. */
+    void runRefused(DirectServer server) {
+        capacity.runRefused(server, context.timer().nowMillis());
+    }
+
+    /** Notes that a server runs a request. */
+    void runStarted(DirectServer server) {
+        capacity.runStarted(server);
+    }
+
+    /** Tells whether a server refuses one run after the other. */
+    boolean refusesRuns(DirectServer server) {
+        return capacity.refusesRuns(server);
+    }
+
+    /** Leaves a server alone that was ordered to change its stage. */
+    void avoidUntil(DirectServer server, long untilMillis) {
+        capacity.avoidUntil(server, untilMillis);
+    }
+
     /** Notes that a prefill server has room for another prompt. */
     void prefillEnded() {
         pump();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -186,7 +186,7 @@
                 lease,
                 first.instance(),
                 flows::isLoaded,
-                flows::demandOf);
+                flows::modelService);
     }
 
     private void registerGauges() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlows.java
@@ -6,7 +6,6 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.PrefillSelector;
 import dev.foxtailshed.kernel.direct.ServerSelector;
-import dev.foxtailshed.kernel.direct.StageDemand;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -72,12 +71,8 @@
         return new PlainStreamFlow(context, request, caller, selector);
     }
 
-    /** Returns what requests to a model service have cost so far. */
-    StageDemand demandOf(String service) {
-        return modelService(service).demand();
-    }
-
-    private ModelService modelService(String name) {
+    /** Returns what the requests to a model service share. */
+    ModelService modelService(String name) {
         return models.computeIfAbsent(
                 name,
                 key ->
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -210,6 +210,7 @@
     public void onFirstEvent(StreamRelay current) {
         cached.ifPresent(prompt -> service.prefillSelector().handleUsed(prompt.server()));
         cached = Optional.empty();
+        service.reservations().runStarted(current.server());
         context.journal()
                 .streamStarted(
                         request,
@@ -248,14 +249,15 @@
 
     private void handleFailedAttempt(DirectServer server, CallOutcome outcome, String detail) {
         if (outcome == CallOutcome.REFUSED) {
-            cached.ifPresent(prompt -> service.handleLapsed(prompt.server()));
+            service.runRefused(server, cached.map(CachedPrompt::server));
         }
         boolean midway = isAnswerStarted();
         boolean resumable = !midway || boundary.lastId().isPresent() || !boundary.hasEvents();
         releaseAll();
         prefillTried.clear();
         boolean notRun = outcome == CallOutcome.REFUSED && verdict() == Verdict.NOT_RUN;
-        if (notRun && serversLeft() <= 0 && attempts() < MOST_SENDS) {
+        boolean worthAnotherSend = !service.reservations().refusesRuns(server);
+        if (notRun && serversLeft() <= 0 && attempts() < MOST_SENDS && worthAnotherSend) {
             service.reservations().reserveAgain(this, server);
         } else if (resumable && nextStep(outcome) == NextStep.TRY_ANOTHER) {
             resuming = midway;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -103,8 +103,22 @@
                 .anyMatch(usable -> usable.incarnation().equals(server.incarnation()));
     }
 
-    void handleLapsed(DirectServer server) {
-        prefillSelector.handleLapsed(server, context.timer().nowMillis());
+    /**
+     * Notes a run that was refused in spite of its reservation. Either the handle had lapsed, or
+     * the decode server takes no runs; after a second refusal in a row it is the latter.
+     */
+    void runRefused(DirectServer decode, Optional<DirectServer> prefill) {
+        reservations.runRefused(decode);
+        if (!reservations.refusesRuns(decode)) {
+            prefill.ifPresent(
+                    server -> prefillSelector.handleLapsed(server, context.timer().nowMillis()));
+        }
+    }
+
+    /** Notes that a server was ordered to change its stage and serves nothing until then. */
+    void ordered(DirectServer server, long untilMillis) {
+        reservations.avoidUntil(server, untilMillis);
+        prefillSelector.avoidUntil(server, untilMillis);
     }
 
     void releaseCache(DirectServer server, String handle) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -10,7 +10,6 @@
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.EngineTerms;
 import dev.foxtailshed.kernel.direct.RouteTable;
-import dev.foxtailshed.kernel.direct.StageDemand;
 import dev.foxtailshed.kernel.direct.StagePlan.Change;
 import dev.foxtailshed.kernel.direct.StagePlanner;
 import java.util.HashMap;
@@ -40,7 +39,7 @@
     private final OrderLease lease;
     private final String holder;
     private final BooleanSupplier loaded;
-    private final Function<String, StageDemand> demands;
+    private final Function<String, ModelService> models;
     private final Map<String, StagePlanner> planners = new HashMap<>();
     private boolean ordering;
 
@@ -50,8 +49,8 @@
             OrderLease lease,
             String holder,
             BooleanSupplier loaded,
-            Function<String, StageDemand> demands) {
-        this.demands = demands;
+            Function<String, ModelService> models) {
+        this.models = models;
         this.context = context;
         this.control = control;
         this.lease = lease;
@@ -77,7 +76,7 @@
     private void evaluate(String service, EngineTerms engine) {
         List<DirectServer> servers = context.view().servers().of(service);
         StagePlanner planner = planners.computeIfAbsent(service, key -> new StagePlanner());
-        double prefillShare = demands.apply(service).prefillShare(engine);
+        double prefillShare = models.apply(service).demand().prefillShare(engine);
         Optional<Change> change =
                 planner.decide(
                         servers,
@@ -141,7 +140,10 @@
                 Field.of("status", reply.status()));
         // Without an answer the order may still be carried out: it counts as given for its time.
         if (reply.isSuccess() || !reply.isAnswer()) {
-            planner.ordered(change, engine.stageSwitchMillis(), context.timer().nowMillis());
+            long nowMillis = context.timer().nowMillis();
+            planner.ordered(change, engine.stageSwitchMillis(), nowMillis);
+            models.apply(change.server().service())
+                    .ordered(change.server(), nowMillis + engine.stageSwitchMillis());
         }
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeCapacity.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeCapacity.java
@@ -16,7 +16,10 @@
  * short pause or until one of this entry's requests ends there; among the others, the one with the
  * fewest tokens of this entry comes first. What ends at a full server goes to the entry that asks
  * next, so the pause is shorter the more requests wait: an entry with twice the arrivals asks twice
- * as often. Not thread-safe.
+ * as often.
+ *
+ * <p>Also answers a server that is changing its stage: it still grants reservations and then
+ * refuses each run, which wastes the prompt. Not thread-safe.
  */
 public final class DecodeCapacity {
 
@@ -29,6 +32,14 @@
     /** Tokens that a server in another zone counts as fuller; a tie should stay in the zone. */
     private static final long OTHER_ZONE_TOKENS = 1_500;
 
+    /** First time that a server is left alone which grants reservations and refuses their runs. */
+    private static final long FIRST_AVOIDANCE_MILLIS = 500;
+
+    /** Longest such time; a server that is well again must be found within seconds. */
+    private static final long LONGEST_AVOIDANCE_MILLIS = 4_000;
+
+    private static final int MOST_DOUBLINGS = 10;
+
     private final String zone;
     private final Map<Incarnation, Use> uses = new HashMap<>();
 
@@ -59,6 +70,7 @@
             if (tried.contains(server.incarnation())
                     || use.asking
                     || use.closedUntilMillis > nowMillis
+                    || use.avoidedUntilMillis > nowMillis
                     || !board.of(server).isEligible(nowMillis)) {
                 continue;
             }
@@ -107,6 +119,56 @@
         use.closedUntilMillis = nowMillis + Math.max(SHORTEST_PAUSE_MILLIS, pauseMillis);
     }
 
+    /**
+     * Notes that a server refused to run a request for which it had reserved capacity.
+     *
+     * <p>A single refusal may be the fault of a lapsed handle. From the second in a row on, the
+     * server is left alone, for longer each time.
+     *
+     * @param server the server
+     * @param nowMillis the time
+     */
+    public void runRefused(DirectServer server, long nowMillis) {
+        Use use = use(server);
+        if (use.runRefusals > 0) {
+            int doublings = Math.min(MOST_DOUBLINGS, use.runRefusals - 1);
+            long pauseMillis = FIRST_AVOIDANCE_MILLIS << doublings;
+            use.avoidedUntilMillis = nowMillis + Math.min(LONGEST_AVOIDANCE_MILLIS, pauseMillis);
+        }
+        use.runRefusals++;
+    }
+
+    /**
+     * Notes that a server began to run a request.
+     *
+     * @param server the server
+     */
+    public void runStarted(DirectServer server) {
+        use(server).runRefusals = 0;
+        use(server).avoidedUntilMillis = Long.MIN_VALUE;
+    }
+
+    /**
+     * Tells whether a server has refused to run the last requests that it had reserved capacity
+     * for.
+     *
+     * @param server the server
+     * @return true after two in a row
+     */
+    public boolean refusesRuns(DirectServer server) {
+        return use(server).runRefusals > 1;
+    }
+
+    /**
+     * Leaves a server alone that was ordered to do something else.
+     *
+     * @param server the server
+     * @param untilMillis when it may be asked again
+     */
+    public void avoidUntil(DirectServer server, long untilMillis) {
+        use(server).avoidedUntilMillis = untilMillis;
+    }
+
     /**
      * Notes that a question got no usable answer.
      *
@@ -151,6 +213,8 @@
         private int requests;
         private boolean asking;
         private long closedUntilMillis = Long.MIN_VALUE;
+        private int runRefusals;
+        private long avoidedUntilMillis = Long.MIN_VALUE;
 
         boolean isIdle() {
             return requests == 0 && !asking;
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillSelector.java
@@ -145,6 +145,16 @@
                         before.inRow + 1, nowMillis + Math.min(LONGEST_PAUSE_MILLIS, pauseMillis)));
     }
 
+    /**
+     * Leaves a server alone that was ordered to do something else.
+     *
+     * @param server the server
+     * @param untilMillis when it may be chosen again
+     */
+    public void avoidUntil(DirectServer server, long untilMillis) {
+        lapses.put(server.incarnation(), new Lapses(0, untilMillis));
+    }
+
     /**
      * Notes that a handle was used.
      *
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/DecodeCapacityTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/DecodeCapacityTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -61,6 +62,54 @@
         assertThat(granted[0]).isGreaterThan(granted[1] * 3 / 2);
     }
 
+    @Test
+    void serverThatRefusesItsRunsIsLeftAloneFromTheSecondOnUntilOneStarts() {
+        capacity.runRefused(only, 0);
+        assertThat(capacity.refusesRuns(only)).isFalse();
+        assertThat(asked(1)).contains(only);
+
+        capacity.runRefused(only, 100);
+        assertThat(capacity.refusesRuns(only)).isTrue();
+        assertThat(asked(599)).isEmpty();
+        assertThat(asked(600)).contains(only);
+
+        capacity.runRefused(only, 600);
+        assertThat(asked(1_599)).isEmpty();
+        capacity.runStarted(only);
+        assertThat(asked(1_599)).contains(only);
+        assertThat(capacity.refusesRuns(only)).isFalse();
+    }
+
+    @Test
+    void endOfAnOwnStreamDoesNotOpenAServerThatRefusesItsRuns() {
+        capacity.reserved(only, 1_000);
+        capacity.runRefused(only, 0);
+        capacity.runRefused(only, 0);
+        capacity.released(only, 1_000);
+        assertThat(asked(499)).isEmpty();
+    }
+
+    @Test
+    void orderedServerIsLeftAloneForItsTime() {
+        capacity.avoidUntil(only, 6_000);
+        assertThat(asked(5_999)).isEmpty();
+        assertThat(asked(6_000)).contains(only);
+    }
+
+    /** Replays twelve seconds in which a server switches its stage, at ten requests a second. */
+    @Test
+    void fewPromptsAreWastedAtAServerThatSwitchesItsStage() {
+        int wasted = 0;
+        for (long now = 0; now < 12_000; now += 100) {
+            if (asked(now).isPresent()) {
+                wasted++;
+                capacity.runRefused(only, now);
+            }
+        }
+        // All 120 if refusals of runs are ignored.
+        assertThat(wasted).isLessThanOrEqualTo(8);
+    }
+
     private Optional<DirectServer> asked(long nowMillis) {
         return capacity.choose(List.of(only), Set.of(), board, nowMillis);
     }
