Count a vanished model server as present until it had time to return

Cause: one wait for the whole list mixed two reasons.

A server that vanishes without having announced it is counted as present for 8 s, by its address, so that only its own return is waited for.

Ruled out: shorter waits for all changes; a release and a start bring servers one by one.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
@@ -42,20 +42,21 @@
      * Chooses the next change.
      *
      * @param servers the usable model servers of one service
+     * @param expectedBack servers that are away for a moment: they count, but cannot change
      * @param prefillShare the share of servers that should read prompts
      * @return the change, or nothing if the split is as wanted
      */
-    public Optional<Change> next(List<DirectServer> servers, double prefillShare) {
-        List<DirectServer> prefill = ofStage(servers, Stage.PREFILL);
-        List<DirectServer> decode = ofStage(servers, Stage.DECODE);
-        int wanted = wantedPrefill(prefill.size() + decode.size(), prefillShare, prefill.size());
-        if (prefill.size() > wanted) {
-            return pick(prefill).map(server -> new Change(server, Stage.DECODE));
+    public Optional<Change> next(
+            List<DirectServer> servers, List<DirectServer> expectedBack, double prefillShare) {
+        int prefill = count(servers, expectedBack, Stage.PREFILL);
+        int decode = count(servers, expectedBack, Stage.DECODE);
+        int wanted = wantedPrefill(prefill + decode, prefillShare, prefill);
+        if (prefill == wanted) {
+            return Optional.empty();
         }
-        if (prefill.size() < wanted) {
-            return pick(decode).map(server -> new Change(server, Stage.PREFILL));
-        }
-        return Optional.empty();
+        Stage from = prefill > wanted ? Stage.PREFILL : Stage.DECODE;
+        Stage to = prefill > wanted ? Stage.DECODE : Stage.PREFILL;
+        return pick(ofStage(servers, from)).map(server -> new Change(server, to));
     }
 
     /**
@@ -66,6 +67,11 @@
      */
     public record Change(DirectServer server, Stage stage) {}
 
+    private static int count(
+            List<DirectServer> servers, List<DirectServer> expectedBack, Stage stage) {
+        return ofStage(servers, stage).size() + ofStage(expectedBack, stage).size();
+    }
+
     private static List<DirectServer> ofStage(List<DirectServer> servers, Stage stage) {
         return servers.stream().filter(s -> s.stage().equals(Optional.of(stage))).toList();
     }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
@@ -7,40 +7,43 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
  * Decides when a model server of a service changes its stage.
  *
- * <p>Answers a service whose servers stand in the wrong stages: the plan must want the change for a
- * while, since servers register one after the other and crashed ones come back. Under load one
- * server changes at a time, since it serves nothing meanwhile. Not thread-safe.
+ * <p>Answers a service whose servers stand in the wrong stages. A server that vanished without
+ * having announced it may be back within seconds, so it is counted as present for a while; one that
+ * announced its leaving is not. Under load one server changes at a time, since it serves nothing
+ * meanwhile. Not thread-safe.
  */
 public final class StagePlanner {
 
     /** How long a list of servers must be unchanged before it is acted on without load. */
     private static final long SETTLE_MILLIS = 2_000;
 
-    /** How long a change must be wanted under load: longer than a crashed server is away. */
-    private static final long LOADED_SETTLE_MILLIS = 8_000;
+    /** The same under load after losses; a replacement of a server that leaves starts before it. */
+    private static final long LOSS_SETTLE_MILLIS = 1_000;
 
-    /**
-     * The same after servers announced that they leave: they do not come back, and a replacement
-     * starts before.
-     */
-    private static final long ANNOUNCED_SETTLE_MILLIS = 1_000;
+    /** The same under load after servers joined, since others may follow. */
+    private static final long GROWTH_SETTLE_MILLIS = 8_000;
 
     /** The same where a stage has no server at all, since every request suffers. */
     private static final long EMPTY_STAGE_SETTLE_MILLIS = 3_000;
 
+    /** How long a vanished server counts as present: longer than a crashed one is away. */
+    private static final long RETURN_MILLIS = 8_000;
+
     /** How long after its switch time a server may take to report its new stage. */
     private static final long REPORT_MILLIS = 3_000;
 
     private final StagePlan plan = new StagePlan();
     private final Map<Incarnation, Ordered> ordered = new HashMap<>();
+    private final Map<String, Vanished> vanishedByAddress = new HashMap<>();
     private List<DirectServer> lastSeen = List.of();
-    private long unchangedSinceMillis;
-    private boolean announced;
+    private long changedMillis;
+    private long grownMillis;
 
     /**
      * Decides on the next change.
@@ -60,13 +63,11 @@
             long nowMillis) {
         ordered.values().removeIf(order -> order.endMillis <= nowMillis);
         List<DirectServer> expected = withOrders(servers);
-        if (!expected.equals(lastSeen)) {
-            announced = onlyAnnouncedLosses(lastSeen, expected, leaving);
-            lastSeen = expected;
-            unchangedSinceMillis = nowMillis;
-        }
-        Optional<StagePlan.Change> change = plan.next(expected, prefillShare);
-        boolean settled = nowMillis - unchangedSinceMillis >= settleMillis(expected, loaded);
+        follow(expected, leaving, nowMillis);
+        boolean emptyStage = expected.stream().map(DirectServer::stage).distinct().count() < 2;
+        Optional<StagePlan.Change> change =
+                plan.next(expected, emptyStage ? List.of() : expectedBack(), prefillShare);
+        boolean settled = nowMillis >= settledMillis(emptyStage, loaded);
         boolean switching = loaded && !ordered.isEmpty();
         return settled && !switching ? change : Optional.empty();
     }
@@ -86,40 +87,60 @@
         lastSeen = withOrders(lastSeen);
     }
 
-    private List<DirectServer> withOrders(List<DirectServer> servers) {
-        List<DirectServer> expected = new ArrayList<>();
-        for (DirectServer server : servers) {
-            Ordered order = ordered.get(server.incarnation());
-            expected.add(order == null ? server : server.withStage(order.stage));
+    private void follow(List<DirectServer> now, List<DirectServer> leaving, long nowMillis) {
+        if (!now.equals(lastSeen)) {
+            Set<Incarnation> before = incarnations(lastSeen);
+            Set<Incarnation> present = incarnations(now);
+            Set<Incarnation> announced = incarnations(leaving);
+            lastSeen.stream()
+                    .filter(server -> !present.contains(server.incarnation()))
+                    .filter(server -> !announced.contains(server.incarnation()))
+                    .forEach(server -> vanished(server, nowMillis));
+            boolean grown =
+                    now.stream()
+                            .filter(server -> !before.contains(server.incarnation()))
+                            .anyMatch(server -> !vanishedByAddress.containsKey(server.address()));
+            grownMillis = grown ? nowMillis : grownMillis;
+            changedMillis = nowMillis;
+            lastSeen = now;
         }
-        return expected;
+        now.forEach(server -> vanishedByAddress.remove(server.address()));
+        vanishedByAddress.values().removeIf(gone -> gone.endMillis <= nowMillis);
     }
 
-    private static boolean onlyAnnouncedLosses(
-            List<DirectServer> before, List<DirectServer> now, List<DirectServer> leaving) {
-        List<Incarnation> lost = incarnations(before);
-        lost.removeAll(incarnations(now));
-        boolean nothingNew = incarnations(before).containsAll(incarnations(now));
-        return nothingNew && !lost.isEmpty() && incarnations(leaving).containsAll(lost);
+    private void vanished(DirectServer server, long nowMillis) {
+        vanishedByAddress.put(server.address(), new Vanished(server, nowMillis + RETURN_MILLIS));
     }
 
-    private static List<Incarnation> incarnations(List<DirectServer> servers) {
-        return servers.stream()
-                .map(DirectServer::incarnation)
-                .collect(Collectors.toCollection(ArrayList::new));
+    private List<DirectServer> expectedBack() {
+        return vanishedByAddress.values().stream().map(Vanished::server).toList();
     }
 
-    private long settleMillis(List<DirectServer> servers, boolean loaded) {
-        if (announced) {
-            return ANNOUNCED_SETTLE_MILLIS;
-        }
+    private long settledMillis(boolean emptyStage, boolean loaded) {
         if (!loaded) {
-            return SETTLE_MILLIS;
+            return changedMillis + SETTLE_MILLIS;
         }
-        long stages = servers.stream().map(DirectServer::stage).distinct().count();
-        return stages < 2 ? EMPTY_STAGE_SETTLE_MILLIS : LOADED_SETTLE_MILLIS;
+        return emptyStage
+                ? changedMillis + EMPTY_STAGE_SETTLE_MILLIS
+                : Math.max(changedMillis + LOSS_SETTLE_MILLIS, grownMillis + GROWTH_SETTLE_MILLIS);
+    }
+
+    private List<DirectServer> withOrders(List<DirectServer> servers) {
+        List<DirectServer> expected = new ArrayList<>();
+        for (DirectServer server : servers) {
+            Ordered order = ordered.get(server.incarnation());
+            expected.add(order == null ? server : server.withStage(order.stage));
+        }
+        return expected;
+    }
+
+    private static Set<Incarnation> incarnations(List<DirectServer> servers) {
+        return servers.stream().map(DirectServer::incarnation).collect(Collectors.toSet());
     }
 
     /** A change that the server may still be carrying out. */
     private record Ordered(Stage stage, long endMillis) {}
+
+    /** A server whose entry is gone, and how long it counts as present. */
+    private record Vanished(DirectServer server, long endMillis) {}
 }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/Servers.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/Servers.java
@@ -13,7 +13,8 @@
     }
 
     static DirectServer model(String id, Stage stage) {
-        return new DirectServer(id, 1, "llm", "10.0.0.1:80", "a", 48, false, Optional.of(stage), 0);
+        String address = id + ":80";
+        return new DirectServer(id, 1, "llm", address, "a", 48, false, Optional.of(stage), 0);
     }
 
     static DirectServer draining(DirectServer server) {
@@ -30,8 +31,12 @@
     }
 
     static DirectServer restarted(DirectServer server) {
+        return restarted(server, server.id());
+    }
+
+    static DirectServer restarted(DirectServer server, String id) {
         return new DirectServer(
-                server.id(),
+                id,
                 server.startedEpochMillis() + 1,
                 server.service(),
                 server.address(),
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
@@ -103,7 +103,7 @@
     }
 
     @Test
-    void serverThatStartedMeanwhileIsGivenTimeToSettle() {
+    void serverThatJoinsIsGivenTimeToSettle() {
         List<DirectServer> before = servers(2, 3);
         List<DirectServer> after = new ArrayList<>(before);
         DirectServer gone = after.remove(1);
@@ -114,6 +114,27 @@
         assertThat(planner.decide(after, List.of(gone), 0.45, true, 28_000)).isPresent();
     }
 
+    /** Replays a crash of one prefill server and, as it returns, the leaving of the other one. */
+    @Test
+    void returnOfACrashedServerDoesNotDelayTheReplacementOfOneThatLeft() {
+        List<DirectServer> all = servers(2, 4);
+        DirectServer crashed = all.get(0);
+        DirectServer left = all.get(1);
+        DirectServer back = Servers.restarted(crashed, "p-again");
+        List<DirectServer> withoutBoth = new ArrayList<>(all.subList(2, 6));
+        List<DirectServer> withBack = new ArrayList<>(withoutBoth);
+        withBack.add(back);
+        double share = 0.4;
+        planner.decide(all, List.of(), share, true, 0);
+        planner.decide(all.subList(1, 6), List.of(), share, true, 20_000);
+        planner.decide(withoutBoth, List.of(left), share, true, 21_000);
+        planner.decide(withBack, List.of(left), share, true, 21_100);
+
+        assertThat(planner.decide(withBack, List.of(left), share, true, 22_099)).isEmpty();
+        assertThat(planner.decide(withBack, List.of(left), share, true, 22_100).map(Change::stage))
+                .contains(Stage.PREFILL);
+    }
+
     @ParameterizedTest
     @CsvSource({"0.28, 2, 2", "0.28, 3, 2", "0.28, 1, 1", "0.20, 2, 1", "0.45, 2, 2", "0.46, 2, 3"})
     void aSplitNearTheWishStays(double share, int current, int expected) {
