Let refused callers come back after the burst

Their answer is late in any case.

ReturnTimes sends them back after 1.5 to 4.5 s, but within a third of the time that they have, since callers wait no longer.

Ruled out: telling returning callers from new ones by their deadlines (they differ from caller to caller) or by their prompts (retries reach other entries).

BurstReplayTest replays it against the early return.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -131,7 +131,7 @@
     }
 
     private void refuse(String message) {
-        fail(message, false, service.retryAfterMillis());
+        fail(message, false, service.retryAfterMillis(remainingMillis()));
     }
 
     private void readPrompt() {
@@ -263,7 +263,10 @@
             resuming = midway;
             begin();
         } else {
-            fail(detail, outcome == CallOutcome.SILENT, service.retryAfterMillis());
+            fail(
+                    detail,
+                    outcome == CallOutcome.SILENT,
+                    service.retryAfterMillis(remainingMillis()));
         }
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -7,6 +7,7 @@
 import dev.foxtailshed.kernel.direct.FirstEventTimes;
 import dev.foxtailshed.kernel.direct.PrefillAllowance;
 import dev.foxtailshed.kernel.direct.PrefillSelector;
+import dev.foxtailshed.kernel.direct.ReturnTimes;
 import dev.foxtailshed.kernel.direct.StageDemand;
 import java.util.Optional;
 import java.util.Set;
@@ -27,12 +28,6 @@
     /** Slowest prompt reading that is waited for, in tokens a millisecond. */
     private static final double SLOWEST_TOKENS_PER_MILLI = 4;
 
-    /** Least time until a refused caller comes back: its answer is late in any case by then. */
-    private static final long RETRY_MILLIS = 500;
-
-    /** Time over which callers refused together come back, so that they do not clump. */
-    private static final long RETRY_SPREAD_MILLIS = 1_000;
-
     /** Least time that a prefill server gets before another is tried. */
     private static final long LEAST_PREFILL_MILLIS = 1_500;
 
@@ -44,6 +39,7 @@
     private final FirstEventTimes times = new FirstEventTimes();
     private final StageDemand demand = new StageDemand();
     private final PrefillAllowance allowance = new PrefillAllowance();
+    private final ReturnTimes returnTimes = new ReturnTimes();
     private final IntSupplier entries;
 
     ModelService(
@@ -158,12 +154,9 @@
         return LEAST_PREFILL_MILLIS + (long) (demand.promptTokens() / SLOWEST_TOKENS_PER_MILLI);
     }
 
-    /**
-     * When a refused caller should come back. Its answer will be late in any case, so it comes
-     * after a usual burst rather than into it, and callers refused together come back apart.
-     */
-    long retryAfterMillis() {
-        double spread = RETRY_SPREAD_MILLIS * context.random().getAsDouble();
-        return Math.max(RETRY_MILLIS, reservations.drainMillis()) + (long) spread;
+    /** Tells when a refused caller should come back. */
+    long retryAfterMillis(long remainingMillis) {
+        return returnTimes.retryAfterMillis(
+                reservations.drainMillis(), remainingMillis, context.random().getAsDouble());
     }
 }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/BurstReplayTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/BurstReplayTest.java
@@ -31,13 +31,29 @@
     private static final long END_MILLIS = 34_000;
     private static final long STEP_MILLIS = 10;
 
+    private static final long CALLER_TIME_MILLIS = 14_000;
+
+    /** How refused callers came back before: into the burst. */
+    private static final ReturnDelay SOON = random -> 500 + random.nextInt(1_000);
+
+    /** How they come back now. */
+    private static final ReturnDelay LATER =
+            random ->
+                    new ReturnTimes().retryAfterMillis(0, CALLER_TIME_MILLIS, random.nextDouble());
+
+    private interface ReturnDelay {
+        long next(Random random);
+    }
+
+    private record Result(int inTime, int refusedTwice) {}
+
     private record Caller(long firstMillis, long arrivedMillis, boolean returned) {}
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void moreCallersAreServedInTimeThanFirstComeFirstServed(long seed) {
         int baseline = firstComeFirstServed(arrivals(seed));
-        int queued = withTheQueue(arrivals(seed), seed);
+        int queued = withTheQueue(arrivals(seed), seed, LATER).inTime();
         int all = arrivals(seed).size();
 
         assertThat(queued).isGreaterThan(baseline + all / 10);
@@ -45,6 +61,16 @@
         assertThat(queued).isGreaterThan(all * 70 / 100);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void fewerCallersAreRefusedAgainThanWithAnEarlyReturn(long seed) {
+        Result soon = withTheQueue(arrivals(seed), seed, SOON);
+        Result later = withTheQueue(arrivals(seed), seed, LATER);
+
+        assertThat(later.refusedTwice()).isLessThan(soon.refusedTwice());
+        assertThat(later.inTime()).isGreaterThan(soon.inTime() * 95 / 100);
+    }
+
     private static PriorityQueue<Caller> arrivals(long seed) {
         Random random = new Random(seed);
         PriorityQueue<Caller> callers =
@@ -75,11 +101,13 @@
         return inTime;
     }
 
-    private static int withTheQueue(PriorityQueue<Caller> arrivals, long seed) {
+    private static Result withTheQueue(
+            PriorityQueue<Caller> arrivals, long seed, ReturnDelay returns) {
         Random random = new Random(seed);
         AdmissionQueue<Caller> queue = new AdmissionQueue<>();
         List<Long> ends = new ArrayList<>();
         int inTime = 0;
+        int refusedTwice = 0;
         for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
             long time = now;
             ends.removeIf(end -> end <= time);
@@ -92,8 +120,10 @@
                 }
             }
             for (Caller caller : refused) {
-                if (!caller.returned()) {
-                    long back = now + 500 + random.nextInt(1_000);
+                if (caller.returned()) {
+                    refusedTwice++;
+                } else {
+                    long back = now + returns.next(random);
                     arrivals.add(new Caller(caller.firstMillis(), back, true));
                 }
             }
@@ -105,7 +135,7 @@
                 first = queue.peek();
             }
         }
-        return inTime;
+        return new Result(inTime, refusedTwice);
     }
 
     private static int serve(Caller caller, long nowMillis, List<Long> ends) {
