Keep part of the KV cache free for the growth of running streams

Cause: a decode server counts what a stream holds now.

ReservationSize asks for 6 % of the KV cache beyond the request's need and gives it back at once; in turn the reservation itself holds 0.3 instead of 0.8 of the expected output.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -8,6 +8,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.EngineTerms;
+import dev.foxtailshed.kernel.direct.ReservationSize;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,16 +26,11 @@
     /** Reservations asked for at once: enough to fill an idle pool, few enough to stay in order. */
     private static final int MAXIMUM_ASKING = 4;
 
-    /**
-     * Share of a server's KV cache that late requests leave free: about two requests in time, which
-     * arrive before a stream ends.
-     */
-    private static final double SPARE_SHARE = 0.15;
-
     private final DirectContext context;
     private final EngineControl control;
     private final String service;
     private final DecodeCapacity capacity;
+    private final ReservationSize size = new ReservationSize();
     private final AdmissionQueue<ModelFlow> queue = new AdmissionQueue<>();
     private int asking;
 
@@ -185,10 +181,8 @@
         capacity.asking(server);
         if (!takesReservations()) {
             granted(waiter, server, Optional.empty(), waiter.item().tokensToReserve());
-        } else if (waiter.isLate()) {
-            askForSpareCapacity(waiter, server);
         } else {
-            askFor(waiter, server);
+            askWithSpareCapacity(waiter, server);
         }
     }
 
@@ -202,15 +196,17 @@
     }
 
     /**
-     * Asks for a late request. It gets capacity only where some is left for requests in time, so
-     * more than it needs is asked for first, and given back.
+     * Asks for more than the request needs and gives that back, so that the request is admitted
+     * only where enough stays free.
      */
-    private void askForSpareCapacity(Waiter<ModelFlow> waiter, DirectServer server) {
+    private void askWithSpareCapacity(Waiter<ModelFlow> waiter, DirectServer server) {
         ModelFlow flow = waiter.item();
         ServerProtocol protocol = context.platform().servers();
         control.send(
                 server,
-                protocol.reserve(flow.tokensToReserve() + spareTokens(), flow.reservationMillis()),
+                protocol.reserve(
+                        flow.tokensToReserve() + spareTokens(waiter.isLate()),
+                        flow.reservationMillis()),
                 reply -> {
                     Optional<String> id = reservationId(reply);
                     if (id.isEmpty()) {
@@ -224,8 +220,8 @@
                 });
     }
 
-    private long spareTokens() {
-        return engine().map(e -> (long) (SPARE_SHARE * e.kvCacheTokens())).orElse(0L);
+    private long spareTokens(boolean late) {
+        return engine().map(e -> size.spareTokens(late, e.kvCacheTokens())).orElse(0L);
     }
 
     private boolean takesReservations() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -88,7 +88,7 @@
     }
 
     long tokensToReserve() {
-        return demand.tokensToReserve(ModelService.RESERVE_HEADROOM);
+        return service.tokensToReserve(demand);
     }
 
     long reservationMillis() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -7,6 +7,7 @@
 import dev.foxtailshed.kernel.direct.FirstEventTimes;
 import dev.foxtailshed.kernel.direct.PrefillAllowance;
 import dev.foxtailshed.kernel.direct.PrefillSelector;
+import dev.foxtailshed.kernel.direct.ReservationSize;
 import dev.foxtailshed.kernel.direct.ReturnTimes;
 import dev.foxtailshed.kernel.direct.StageDemand;
 import java.util.Optional;
@@ -16,12 +17,6 @@
 /** What the requests to one model service share at this entry. Runs on the entry's loop. */
 final class ModelService {
 
-    /**
-     * Factor on the expected output when capacity is reserved: below it running requests are
-     * preempted more often, above it capacity idles. Measured on both of the users' deployments.
-     */
-    static final double RESERVE_HEADROOM = 0.8;
-
     /** Longest reservation asked for; a prompt is read in a fraction of this. */
     private static final long RESERVATION_MILLIS = 2_000;
 
@@ -38,6 +33,7 @@
     private final PrefillSelector prefillSelector;
     private final FirstEventTimes times = new FirstEventTimes();
     private final StageDemand demand = new StageDemand();
+    private final ReservationSize reservationSize = new ReservationSize();
     private final PrefillAllowance allowance = new PrefillAllowance();
     private final ReturnTimes returnTimes = new ReturnTimes();
     private final IntSupplier entries;
@@ -141,6 +137,11 @@
         times.firstEvent(demand.promptTokens(), sinceReservationMillis);
     }
 
+    /** Returns the tokens that are reserved for a request at a decode server. */
+    long tokensToReserve(ModelDemand request) {
+        return reservationSize.tokens(request);
+    }
+
     long reservationMillis() {
         return context.view()
                 .routes()
