Send answers in chunks on connections that will close

Cause: an answer without a length on an HTTP/1.1 connection that closes after it (the caller asked for it, or the instance shuts down) was ended by the close, so a stream that broke off looked complete.

CallerStream asks for chunks unless the answer has a length.

Ruled out: EventBoundary and the relay; on kept connections the same cut was seen by callers, and the raw answer had neither length nor chunks.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
@@ -6,6 +6,11 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
@@ -83,9 +88,21 @@
             settled = headers;
             response.setStatus(status);
             response.getHeaders().add(headers);
+            if (!headers.contains(HttpHeader.CONTENT_LENGTH) && takesChunks()) {
+                // Else the answer would end with a connection that closes after it, and a caller
+                // could not tell a broken answer from a complete one.
+                response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
+            }
         }
     }
 
+    private boolean takesChunks() {
+        Request request = response.getRequest();
+        return request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1
+                && !HttpMethod.HEAD.is(request.getMethod())
+                && !HttpStatus.hasNoBody(response.getStatus());
+    }
+
     /**
      * Tells whether status and headers are settled, after which an error breaks the connection.
      *
@@ -164,6 +181,7 @@
             watch.stop();
             // Headers that were only set have not gone to the caller yet.
             settled.forEach(field -> response.getHeaders().remove(field.getName()));
+            response.getHeaders().remove(HttpHeader.TRANSFER_ENCODING);
             errors.write(response, failure, callback);
         } else {
             broken(new IOException("incomplete answer: " + failure.message()));
