Hold a SIGHUP that comes while the daemon starts

Cause: the handler was installed when the entry had been built; a SIGHUP before that ended the process (status 129).

Roles that reload their settings have the handler installed once the command line is read, and a signal that came before the role listens is carried out then. A signal in the first instants of the JVM itself still ends it: no program code runs yet.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/Foxtailshedd.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/Foxtailshedd.java
@@ -7,6 +7,7 @@
 import dev.foxtailshed.daemon.internal.events.LogSettings;
 import dev.foxtailshed.daemon.internal.role.Role;
 import dev.foxtailshed.daemon.internal.role.RunningRole;
+import dev.foxtailshed.daemon.internal.role.SignalHandlers;
 import dev.foxtailshed.daemon.internal.settings.Setting;
 import dev.foxtailshed.daemon.internal.settings.SettingException;
 import dev.foxtailshed.daemon.internal.settings.Settings;
@@ -64,6 +65,9 @@
         try {
             Namespace namespace = parser.parseArgs(args);
             Role role = findRole(namespace.getString(ROLE));
+            if (role.reloadsSettings()) {
+                SignalHandlers.holdHangup();
+            }
             Settings settings =
                     Settings.read(
                             allSettings(role),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntryRole.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntryRole.java
@@ -82,4 +82,9 @@
                                                 + name
                                                 + '"'));
     }
+
+    @Override
+    public boolean reloadsSettings() {
+        return true;
+    }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/role/Role.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/role/Role.java
@@ -41,4 +41,13 @@
      * @throws IOException if an address cannot be bound
      */
     RunningRole start(Settings settings) throws IOException;
+
+    /**
+     * Tells whether the role reads its settings again at SIGHUP.
+     *
+     * @return true if the signal must not end the process, not even during the start
+     */
+    default boolean reloadsSettings() {
+        return false;
+    }
 }
