--- a/harness/src/main/java/dev/foxtailshed/harness/JavaProcess.java
+++ b/harness/src/main/java/dev/foxtailshed/harness/JavaProcess.java
@@ -156,6 +156,11 @@
         signal("-CONT");
     }
 
+    /** Tells the process that its settings file has changed (SIGHUP). */
+    public void hangUp() {
+        signal("-HUP");
+    }
+
     /** Asks the process to stop (SIGTERM) and returns at once. */
     public void terminate() {
         signal("-TERM");
--- a/harness/src/main/java/dev/foxtailshed/harness/ProgramJars.java
+++ b/harness/src/main/java/dev/foxtailshed/harness/ProgramJars.java
@@ -7,6 +7,8 @@
 public enum ProgramJars {
     /** The daemon. */
     DAEMON("daemon"),
+    /** The daemon packaged with the adapter to the hosting platform. */
+    HOSTED("platform", "target/foxtailshed.jar"),
     /** The operators' command. */
     CLI("cli"),
     /** The stand-ins. */
@@ -15,9 +17,15 @@
     private static final String VERSION = "0.1.0";
 
     private final String module;
+    private final String relativePath;
 
     ProgramJars(String module) {
+        this(module, module + "/target/foxtailshed-" + module + "-" + VERSION + "-all.jar");
+    }
+
+    ProgramJars(String module, String relativePath) {
         this.module = module;
+        this.relativePath = relativePath;
     }
 
     /**
@@ -29,9 +37,7 @@
     public Path path() {
         Path directory = Path.of("").toAbsolutePath();
         while (directory != null) {
-            Path jar =
-                    directory.resolve(
-                            module + "/target/foxtailshed-" + module + "-" + VERSION + "-all.jar");
+            Path jar = directory.resolve(relativePath);
             if (Files.exists(jar)) {
                 return jar;
             }
