Change stages of a large service under load only for a larger distance

Under load the distance from the wish that is acted on grows to 6 % of the servers, which is about how far the estimates of two entries lie apart. Up to 12 servers nothing changes; without load neither.

Telling the other entries of an order through their peers remains to be built.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlan.java
@@ -20,20 +20,29 @@
     /** Distance from the exact wish below which the split stays as it is; avoids flapping. */
     private static final double HYSTERESIS_SERVERS = 0.75;
 
+    /**
+     * The same under load, as a share of the servers: the estimates of two entries differ by about
+     * as much, and a server that changes costs prompts.
+     */
+    private static final double LOADED_HYSTERESIS_SHARE = 0.06;
+
     /**
      * Returns the wanted number of prefill servers.
      *
      * @param servers how many servers the service has
      * @param prefillShare the share of servers that should read prompts, from 0 to 1
      * @param current how many do so now
+     * @param loaded whether requests are being served
      * @return at least one, and less than all, where there are two or more
      */
-    public int wantedPrefill(int servers, double prefillShare, int current) {
+    public int wantedPrefill(int servers, double prefillShare, int current, boolean loaded) {
         if (servers < LEAST_SERVERS) {
             return 0;
         }
         double exact = prefillShare * servers;
-        boolean near = Math.abs(exact - current) <= HYSTERESIS_SERVERS;
+        double loadedBand = loaded ? LOADED_HYSTERESIS_SHARE * servers : 0;
+        double band = Math.max(HYSTERESIS_SERVERS, loadedBand);
+        boolean near = Math.abs(exact - current) <= band;
         long wanted = near ? current : Math.round(exact);
         return (int) Math.max(1, Math.min(servers - 1, wanted));
     }
@@ -44,13 +53,17 @@
      * @param servers the usable model servers of one service
      * @param expectedBack servers that are away for a moment: they count, but cannot change
      * @param prefillShare the share of servers that should read prompts
+     * @param loaded whether requests are being served
      * @return the change, or nothing if the split is as wanted
      */
     public Optional<Change> next(
-            List<DirectServer> servers, List<DirectServer> expectedBack, double prefillShare) {
+            List<DirectServer> servers,
+            List<DirectServer> expectedBack,
+            double prefillShare,
+            boolean loaded) {
         int prefill = count(servers, expectedBack, Stage.PREFILL);
         int decode = count(servers, expectedBack, Stage.DECODE);
-        int wanted = wantedPrefill(prefill + decode, prefillShare, prefill);
+        int wanted = wantedPrefill(prefill + decode, prefillShare, prefill, loaded);
         if (prefill == wanted) {
             return Optional.empty();
         }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
@@ -66,7 +66,7 @@
         follow(expected, leaving, nowMillis);
         boolean emptyStage = expected.stream().map(DirectServer::stage).distinct().count() < 2;
         Optional<StagePlan.Change> change =
-                plan.next(expected, emptyStage ? List.of() : expectedBack(), prefillShare);
+                plan.next(expected, emptyStage ? List.of() : expectedBack(), prefillShare, loaded);
         boolean settled = nowMillis >= settledMillis(emptyStage, loaded);
         boolean switching = loaded && !ordered.isEmpty();
         return settled && !switching ? change : Optional.empty();
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StageDemandTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StageDemandTest.java
@@ -23,7 +23,7 @@
     })
     void usualRequestsSplitByWhatAServerHolds(int slots, long tokens, int servers, int expected) {
         double share = demand.prefillShare(terms(slots, tokens));
-        assertThat(new StagePlan().wantedPrefill(servers, share, 0)).isEqualTo(expected);
+        assertThat(new StagePlan().wantedPrefill(servers, share, 0, false)).isEqualTo(expected);
     }
 
     @Test
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
@@ -22,7 +22,7 @@
     @ParameterizedTest
     @CsvSource({"0, 0", "1, 0", "2, 1", "3, 1", "6, 2", "7, 2", "31, 10", "36, 12"})
     void wantedSplitFollowsTheShare(int servers, int expected) {
-        assertThat(new StagePlan().wantedPrefill(servers, THIRD, 0)).isEqualTo(expected);
+        assertThat(new StagePlan().wantedPrefill(servers, THIRD, 0, false)).isEqualTo(expected);
     }
 
     @Test
@@ -138,7 +138,21 @@
     @ParameterizedTest
     @CsvSource({"0.28, 2, 2", "0.28, 3, 2", "0.28, 1, 1", "0.20, 2, 1", "0.45, 2, 2", "0.46, 2, 3"})
     void aSplitNearTheWishStays(double share, int current, int expected) {
-        assertThat(new StagePlan().wantedPrefill(6, share, current)).isEqualTo(expected);
+        assertThat(new StagePlan().wantedPrefill(6, share, current, true)).isEqualTo(expected);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "36, 0.30, 9, true, 9",
+        "36, 0.30, 9, false, 11",
+        "36, 0.30, 8, true, 11",
+        "6, 0.28, 1, true, 1",
+        "6, 0.30, 1, true, 2"
+    })
+    void aLargeServiceUnderLoadChangesOnlyForALargerDistance(
+            int servers, double share, int current, boolean loaded, int expected) {
+        assertThat(new StagePlan().wantedPrefill(servers, share, current, loaded))
+                .isEqualTo(expected);
     }
 
     private static List<DirectServer> servers(int prefill, int decode) {
