Serve requests that nearly fill a model server

Cause: since part of the KV cache is asked for beyond a request's need, a request of more than 94 % of a server's KV cache (85 % when late) was refused by every server, also an empty one. Found by reading the change.

The spare part shrinks to what an empty server has left.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -205,7 +205,8 @@
         control.send(
                 server,
                 protocol.reserve(
-                        flow.tokensToReserve() + spareTokens(waiter.isLate()),
+                        flow.tokensToReserve()
+                                + spareTokens(flow.tokensToReserve(), waiter.isLate()),
                         flow.reservationMillis()),
                 reply -> {
                     Optional<String> id = reservationId(reply);
@@ -220,8 +221,8 @@
                 });
     }
 
-    private long spareTokens(boolean late) {
-        return engine().map(e -> size.spareTokens(late, e.kvCacheTokens())).orElse(0L);
+    private long spareTokens(long tokens, boolean late) {
+        return engine().map(e -> size.spareTokens(tokens, late, e.kvCacheTokens())).orElse(0L);
     }
 
     private boolean takesReservations() {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/ReservationSize.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/ReservationSize.java
@@ -57,11 +57,14 @@
     /**
      * Returns the tokens that must be free beyond the reservation.
      *
+     * @param reservedTokens the tokens reserved for the request
      * @param late whether the request has missed its objective
      * @param kvCacheTokens the size of a server's KV cache
-     * @return tokens that are asked for and given back
+     * @return tokens that are asked for and given back; less for a request that nearly fills a
+     *     server, so that an empty one takes it
      */
-    public long spareTokens(boolean late, long kvCacheTokens) {
-        return (long) ((late ? LATE_SHARE : GROWTH_SHARE) * kvCacheTokens);
+    public long spareTokens(long reservedTokens, boolean late, long kvCacheTokens) {
+        long wanted = (long) ((late ? LATE_SHARE : GROWTH_SHARE) * kvCacheTokens);
+        return Math.max(0, Math.min(wanted, kvCacheTokens - reservedTokens));
     }
 }
