--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -45,12 +45,12 @@
             String zone,
             DecodeReservations reservations,
             IntSupplier entries) {
-        this.entries = entries;
         this.context = context;
         this.control = control;
         this.name = name;
         this.reservations = reservations;
         this.prefillSelector = new PrefillSelector(zone, demand::millisPerToken, context.random());
+        this.entries = entries;
     }
 
     StageDemand demand() {
