--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -80,7 +80,7 @@
                 service.reservations().join(this, request.route().priority(), late, giveUpMillis);
         if (place.isEmpty()) {
             refuse(
-                    "no decode capacity in time or at all: "
+                    "no prefill or decode capacity in time or at all: "
                             + service.reservations().waiting()
                             + " wait");
         } else if (reservation.isEmpty()) {
@@ -115,7 +115,7 @@
     /** Its time in the queue is up. */
     void waitTimeExpired() {
         waiter = Optional.empty();
-        refuse("no decode capacity in time");
+        refuse("no prefill or decode capacity in time");
     }
 
     /** Decode capacity was reserved. */
