--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -209,8 +209,7 @@
                     Field.of("collection", collection),
                     Field.of("revision", copy.revision()),
                     Field.of("knownRevision", knownRevision));
-            updateCopy(() -> {}, copy.revision());
-            listener.onList(copy.entries(), copy.revision());
+            applyList(copy.entries(), copy.revision());
         }
     }
 
