Close the connection of a response that never ends

Pattern: a server in trouble sends bytes that are no answer until the caller closes. Cause: heads of responses had no limit; the body of a refusal, the response to a prefill and an event of a stream were read or buffered without one, until the deadline.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -32,6 +32,12 @@
     private static final int SUCCESS_CLASS = 2;
     private static final int STATUSES_PER_CLASS = 100;
 
+    /**
+     * Longest body of a refusal that is read so that its connection can be used again; a longer one
+     * may never end.
+     */
+    private static final int MAXIMUM_DISCARDED_BYTES = 64 << 10;
+
     private final DirectContext context;
     private final CallerRequest request;
     private final DirectServer server;
@@ -44,6 +50,7 @@
     private String detail = "";
     private boolean forwarding;
     private boolean ended;
+    private long discardedBytes;
     private Optional<Subscription> responseTimer = Optional.empty();
 
     /** Receives the response of an attempt and its end. */
@@ -145,11 +152,20 @@
                 () -> {
                     if (forwarding && !ended) {
                         listener.onBytes(bytes);
+                    } else {
+                        discard(bytes.length);
                     }
                     next.run();
                 });
     }
 
+    private void discard(int bytes) {
+        discardedBytes += bytes;
+        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            abort(outcome, detail + ", with an endless body");
+        }
+    }
+
     @Override
     public void onComplete(Response response) {
         context.runOnLoop(() -> end(outcome, detail));
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -30,6 +30,9 @@
     /** Maximum number of attempts at running a request that servers refuse as not run. */
     private static final int MAXIMUM_ATTEMPTS = 2;
 
+    /** Largest response to a prefill, which names a handle. */
+    private static final int MAXIMUM_HANDLE_BYTES = 64 << 10;
+
     private final ModelService service;
     private final TokenCounts tokenCounts;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
@@ -339,7 +342,11 @@
 
         @Override
         public void onBytes(byte[] bytes) {
-            body.writeBytes(bytes);
+            if (body.size() + bytes.length > MAXIMUM_HANDLE_BYTES) {
+                call.abort(CallOutcome.BROKEN, "the response to a prefill is too large");
+            } else {
+                body.writeBytes(bytes);
+            }
         }
 
         @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -26,6 +26,9 @@
      */
     private static final long STALL_TIMEOUT_GAPS = 8;
 
+    /** Largest event that is buffered; events hold a few tokens. */
+    private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+
     private final DirectContext context;
     private final DirectFlow flow;
     private final EventStreamSplitter splitter;
@@ -120,6 +123,12 @@
     public void onBytes(byte[] bytes) {
         lastBytesMillis = context.timer().nowMillis();
         Optional<byte[]> events = splitter.feed(bytes);
+        if (splitter.incompleteEvent().length > MAXIMUM_EVENT_BYTES) {
+            call.abort(
+                    CallOutcome.BROKEN,
+                    "an event is larger than " + MAXIMUM_EVENT_BYTES + " bytes");
+            return;
+        }
         if (events.isPresent()) {
             flow.writeResponse(events.get());
             if (!hasEvents) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttpClients.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttpClients.java
@@ -11,6 +11,10 @@
 public final class BackendHttpClients {
 
     private static final int MAXIMUM_CONNECTIONS_PER_SERVER = 4096;
+
+    /** A longer head is not a response; without a limit, one server could fill the memory. */
+    private static final int MAXIMUM_RESPONSE_HEAD_BYTES = 64 << 10;
+
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private BackendHttpClients() {}
@@ -31,6 +35,7 @@
         client.setUserAgentField(null);
         client.setFollowRedirects(false);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setMaxResponseHeadersSize(MAXIMUM_RESPONSE_HEAD_BYTES);
         client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
         return client;
     }
