Announce stage changes to all entries, and learn the sizes of requests at once

Both parts touch the same constructors, hence one commit.

Ruled out: expired handles, full links, callers that left (208 of 208 refusals were at the three servers). Change: the entry that holds the lease announces a change to its peers half a second before the command; StageChangeTracker keeps new work, and from the command on runs, off the server until it reports the new stage; the plan of each entry takes the change as made, and does not reverse it for 20 s unless servers leave. A lease that expired between grant and command, as after a pause of the process, sends no command.

The free space of a decode server was 6 % of its cache, less than one output; the split of the stages (three of six read) was corrected after 20 s only, as an entry of five sees one stream a second. Change: RequestSizeEstimator learns prompt and output from arrivals, the first ones counting most; three mean outputs stay free for growth; streams are measured by output token, since short ones end first.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -9,6 +9,7 @@
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.EngineSpec;
 import dev.foxtailshed.kernel.direct.ReservationSizer;
+import dev.foxtailshed.kernel.direct.StageChangeTracker;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -33,7 +34,8 @@
     private final EngineControlClient controlClient;
     private final String service;
     private final DecodeServerSelector serverSelector;
-    private final ReservationSizer sizer = new ReservationSizer();
+    private final ReservationSizer sizer;
+    private final StageChangeTracker stageChanges;
     private final AdmissionQueue<ModelFlow> queue = new AdmissionQueue<>();
     private int callsInFlight;
 
@@ -41,11 +43,15 @@
             DirectContext context,
             EngineControlClient controlClient,
             String service,
-            DecodeServerSelector serverSelector) {
+            DecodeServerSelector serverSelector,
+            ReservationSizer sizer,
+            StageChangeTracker stageChanges) {
         this.context = context;
         this.controlClient = controlClient;
         this.service = service;
         this.serverSelector = serverSelector;
+        this.sizer = sizer;
+        this.stageChanges = stageChanges;
     }
 
     /**
@@ -141,11 +147,6 @@
         return serverSelector.isRefusingRuns(server);
     }
 
-    /** Excludes a server until the given time because it is changing its stage. */
-    void excludeUntil(DirectServer server, long untilMillis) {
-        serverSelector.excludeUntil(server, untilMillis);
-    }
-
     /** Processes the queue because a prefill server may have room for another prompt. */
     void onPrefillEnd() {
         processQueue();
@@ -173,7 +174,9 @@
     private void processQueue() {
         long nowMillis = context.timer().nowMillis();
         while (callsInFlight < MAXIMUM_CALLS_IN_FLIGHT && queue.peek().isPresent()) {
-            List<DirectServer> servers = context.view().servers().decodeCapable(service);
+            List<DirectServer> servers =
+                    stageChanges.withoutAnnounced(
+                            context.view().servers().decodeCapable(service), nowMillis);
             Optional<DirectServer> server =
                     serverSelector.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -115,7 +115,12 @@
                         new DirectRequestRecorder(registry, timer, view::servers),
                         random);
         flows = new DirectFlowFactory(context, initialSettings.zone(), this::entryCount);
-        coordinator = newCoordinator(context, store, initialSettings);
+        StageChangeNotices notices =
+                new StageChangeNotices(
+                        httpClient,
+                        this::peerAddresses,
+                        notice -> context.runOnLoop(() -> recordNotice(notice)));
+        coordinator = newCoordinator(context, store, notices, initialSettings);
         connector =
                 HttpConnectors.addForwarding(
                         callers, initialSettings.callerAddress(), MAXIMUM_HEAD_BYTES);
@@ -131,6 +136,7 @@
                         List.of(
                                 new ReadinessEndpoint(this::isReady),
                                 peers,
+                                notices,
                                 new MetricsTextEndpoint(registry),
                                 new MetricsEndpoint(registry)),
                         () -> shuttingDown));
@@ -192,8 +198,15 @@
         return List.copyOf(all);
     }
 
+    private void recordNotice(StageChangeNotices.Notice notice) {
+        coordinator.recordNotice(notice);
+    }
+
     private StageCoordinator newCoordinator(
-            DirectContext context, SharedStore store, DirectSettings initialSettings) {
+            DirectContext context,
+            SharedStore store,
+            StageChangeNotices notices,
+            DirectSettings initialSettings) {
         StageChangeLease lease =
                 new StageChangeLease(
                         context,
@@ -205,6 +218,7 @@
                 context,
                 flows.controlClient(),
                 lease,
+                notices,
                 initialSettings.instance(),
                 flows::isLoaded,
                 flows::modelService);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
@@ -4,7 +4,10 @@
 import dev.foxtailshed.kernel.direct.DecodeServerSelector;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
+import dev.foxtailshed.kernel.direct.RequestSizeEstimator;
+import dev.foxtailshed.kernel.direct.ReservationSizer;
 import dev.foxtailshed.kernel.direct.ServerSelector;
+import dev.foxtailshed.kernel.direct.StageChangeTracker;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -70,6 +73,7 @@
         Optional<TokenCounts> demand = request.attributes().tokenCounts();
         if (request.service().engine().isPresent() && demand.isPresent()) {
             ModelService model = modelService(request.service().name());
+            model.recordArrival(demand.get());
             return new ModelFlow(context, request, caller, model, demand.get());
         }
         return new PlainStreamFlow(context, request, caller, selector);
@@ -77,20 +81,22 @@
 
     /** Returns the shared state of the requests to a model service. */
     ModelService modelService(String name) {
-        return modelServices.computeIfAbsent(
-                name,
-                key ->
-                        new ModelService(
-                                context,
-                                controlClient,
-                                key,
-                                zone,
-                                new DecodeReservations(
-                                        context,
-                                        controlClient,
-                                        key,
-                                        new DecodeServerSelector(zone, context.random())),
-                                entryCount));
+        return modelServices.computeIfAbsent(name, this::newModelService);
+    }
+
+    private ModelService newModelService(String name) {
+        RequestSizeEstimator sizes = new RequestSizeEstimator();
+        StageChangeTracker stageChanges = new StageChangeTracker();
+        DecodeReservations reservations =
+                new DecodeReservations(
+                        context,
+                        controlClient,
+                        name,
+                        new DecodeServerSelector(zone, context.random()),
+                        new ReservationSizer(sizes),
+                        stageChanges);
+        return new ModelService(
+                context, controlClient, name, zone, reservations, sizes, stageChanges, entryCount);
     }
 
     private void tick() {
@@ -102,9 +108,6 @@
     private void removeDepartedServers() {
         List<DirectServer> usable = context.view().servers().all();
         context.health().retain(usable);
-        for (ModelService model : modelServices.values()) {
-            model.reservations().retain(usable);
-            model.prefillSelector().retain(usable);
-        }
+        modelServices.values().forEach(model -> model.retain(usable));
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -7,9 +7,12 @@
 import dev.foxtailshed.kernel.direct.PrefillServerSelector;
 import dev.foxtailshed.kernel.direct.PrefillTokenLimit;
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
+import dev.foxtailshed.kernel.direct.RequestSizeEstimator;
 import dev.foxtailshed.kernel.direct.ReservationSizer;
 import dev.foxtailshed.kernel.direct.RetryAfterCalculator;
+import dev.foxtailshed.kernel.direct.StageChangeTracker;
 import dev.foxtailshed.kernel.direct.StageCostEstimator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
@@ -34,8 +37,10 @@
     private final DecodeReservations reservations;
     private final PrefillServerSelector prefillSelector;
     private final FirstEventEstimator firstEventEstimator = new FirstEventEstimator();
-    private final StageCostEstimator costEstimator = new StageCostEstimator();
-    private final ReservationSizer reservationSizer = new ReservationSizer();
+    private final RequestSizeEstimator sizes;
+    private final StageChangeTracker stageChanges;
+    private final StageCostEstimator costEstimator;
+    private final ReservationSizer reservationSizer;
     private final PrefillTokenLimit prefillTokenLimit = new PrefillTokenLimit();
     private final RetryAfterCalculator retryAfterCalculator = new RetryAfterCalculator();
     private final IntSupplier entryCount;
@@ -46,11 +51,17 @@
             String name,
             String zone,
             DecodeReservations reservations,
+            RequestSizeEstimator sizes,
+            StageChangeTracker stageChanges,
             IntSupplier entryCount) {
         this.context = context;
         this.controlClient = controlClient;
         this.name = name;
         this.reservations = reservations;
+        this.sizes = sizes;
+        this.stageChanges = stageChanges;
+        this.costEstimator = new StageCostEstimator(sizes);
+        this.reservationSizer = new ReservationSizer(sizes);
         this.prefillSelector =
                 new PrefillServerSelector(zone, costEstimator::millisPerToken, context.random());
         this.entryCount = entryCount;
@@ -77,7 +88,7 @@
                         costEstimator.millisPerToken(),
                         entryCount.getAsInt());
         return prefillSelector.claim(
-                context.view().servers().forService(name, Stage.PREFILL),
+                prefillServers(),
                 tried,
                 context.health(),
                 context.timer().nowMillis(),
@@ -85,17 +96,20 @@
     }
 
     Optional<DirectServer> choosePrefillServer(Set<Incarnation> tried, long nowMillis) {
-        return prefillSelector.choose(
-                context.view().servers().forService(name, Stage.PREFILL),
-                tried,
-                context.health(),
-                nowMillis);
+        return prefillSelector.choose(prefillServers(), tried, context.health(), nowMillis);
     }
 
     /** Returns whether a server may still get new requests. */
     boolean isUsable(DirectServer server) {
         return context.view().servers().forService(name).stream()
-                .anyMatch(usable -> usable.incarnation().equals(server.incarnation()));
+                .filter(usable -> usable.incarnation().equals(server.incarnation()))
+                .anyMatch(usable -> !stageChanges.isChanging(usable, context.timer().nowMillis()));
+    }
+
+    private List<DirectServer> prefillServers() {
+        return stageChanges.withoutAnnounced(
+                context.view().servers().forService(name, Stage.PREFILL),
+                context.timer().nowMillis());
     }
 
     /**
@@ -113,10 +127,26 @@
         }
     }
 
-    /** Records that a server is changing its stage and serves no requests until the given time. */
-    void recordStageChange(DirectServer server, long untilMillis) {
-        reservations.excludeUntil(server, untilMillis);
-        prefillSelector.excludeUntil(server, untilMillis);
+    /** Records that a server was or will be commanded to change its stage. */
+    void recordNotice(StageChangeNotices.Notice notice) {
+        long nowMillis = context.timer().nowMillis();
+        if (notice.durationMillis() <= 0) {
+            stageChanges.withdraw(notice.server());
+            return;
+        }
+        stageChanges.announce(
+                notice.server(),
+                new StageChangeTracker.Announcement(
+                        notice.stage(),
+                        nowMillis + notice.leadMillis(),
+                        nowMillis + notice.durationMillis()));
+    }
+
+    /** Discards the state of removed servers. */
+    void retain(List<DirectServer> usable) {
+        reservations.retain(usable);
+        prefillSelector.retain(usable);
+        stageChanges.retain(usable);
     }
 
     void releaseCache(DirectServer server, String handle) {
@@ -152,9 +182,14 @@
         return reservationSizer.tokensToReserve(tokenCounts);
     }
 
+    /** Records a request that has arrived. */
+    void recordArrival(TokenCounts tokenCounts) {
+        sizes.recordArrival(tokenCounts);
+    }
+
     /** Records a completed stream. */
     void recordStream(TokenCounts tokenCounts, long millis) {
-        costEstimator.recordStream(reservationSizer.meanHeldTokens(tokenCounts), millis);
+        costEstimator.recordStream(tokenCounts.likelyOutputTokens(), millis);
     }
 
     long reservationMillis() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
@@ -50,6 +50,15 @@
         this.leaseMillis = leaseMillis;
     }
 
+    /**
+     * Returns how long a grant is valid, counted from the call that acquires it.
+     *
+     * @return the time in milliseconds
+     */
+    long durationMillis() {
+        return leaseMillis;
+    }
+
     /**
      * Acquires or renews the lease for a command that is sent at once; passes on its fencing token,
      * or empty if the command must not be sent.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -66,6 +66,12 @@
     /** Another entry holds the lease, or the store could not be read or written. */
     LEASE_REFUSED(4202, Level.INFO, "This entry did not obtain the lease for stage changes."),
     STAGE_ORDERED(4203, Level.INFO, "A command to change its stage was sent to a model server."),
+    /** The process was probably paused between the grant and the command. */
+    LEASE_EXPIRED(
+            4204, Level.WARN, "The lease expired before the command; the command was not sent."),
+    /** The other entry finds out by refused runs. */
+    NOTICE_NOT_DELIVERED(
+            4205, Level.INFO, "A notice of a stage change did not reach another entry."),
     REQUEST_FAILED(5001, Level.INFO, "A request ended with an error."),
     REQUEST_RETRIED(5002, Level.INFO, "A request is retried with another attempt."),
     CALLER_GONE(5003, Level.INFO, "The caller disconnected; its request is cancelled."),
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeServerSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeServerSelector.java
@@ -172,16 +172,6 @@
         return usage(server).consecutiveRunRefusals > 1;
     }
 
-    /**
-     * Excludes a server that was commanded to change its stage.
-     *
-     * @param server the server
-     * @param untilMillis the time from which it may be selected again
-     */
-    public void excludeUntil(DirectServer server, long untilMillis) {
-        usage(server).excludedUntilMillis = untilMillis;
-    }
-
     /**
      * Records that a reservation request got no usable response.
      *
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillServerSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/PrefillServerSelector.java
@@ -198,16 +198,6 @@
                         nowMillis + Math.min(MAXIMUM_EXCLUSION_MILLIS, exclusionMillis)));
     }
 
-    /**
-     * Excludes a server that was commanded to change its stage.
-     *
-     * @param server the server
-     * @param untilMillis the time from which it may be selected again
-     */
-    public void excludeUntil(DirectServer server, long untilMillis) {
-        exclusions.put(server.incarnation(), new Exclusion(0, untilMillis));
-    }
-
     /**
      * Records that a handle was used.
      *
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
@@ -40,5 +40,15 @@
                     (long) (expectedOutputTokens.orElse(maximumOutputTokens) * outputFactor);
             return promptTokens + Math.min(maximumOutputTokens, outputTokens);
         }
+
+        /**
+         * Returns the likely size of the output.
+         *
+         * @return the caller's estimate, at most the maximum output; the maximum without an
+         *     estimate
+         */
+        public long likelyOutputTokens() {
+            return Math.min(maximumOutputTokens, expectedOutputTokens.orElse(maximumOutputTokens));
+        }
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/ReservationSizer.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/ReservationSizer.java
@@ -9,55 +9,59 @@
  * <p>A server counts only what each stream holds at the moment. In a burst, a server fills with new
  * streams, and as all of them grow they use up the space that was free when the reservations were
  * granted; the newest streams are then preempted and their prompts processed again. A reservation
- * is therefore requested for more than its request needs, and the excess is released. Immutable and
- * thread-safe.
+ * is therefore requested for more than its request needs, and the excess is released.
+ *
+ * <p>Between the ends of two streams, the streams of a full server grow together by the output of
+ * about one stream, whatever the size of the server. The space kept free is therefore a multiple of
+ * the mean output rather than a share of the KV cache. Thread-safe if the estimator is.
  */
 public final class ReservationSizer {
 
     /**
      * Factor on the expected output. A request needs little of its output space until its prompt
-     * has been processed; its later growth is covered by the free share.
+     * has been processed; its later growth is covered by the free space.
      */
     private static final double OUTPUT_FACTOR = 0.3;
 
-    /** A stream's output grows evenly, so on average half of it is held. */
-    private static final double MEAN_PROGRESS = 0.5;
-
     /**
-     * Share of the KV cache that must stay free for the growth of running streams: about half of a
-     * typical output per stream, less the space of streams that end meanwhile.
+     * Mean outputs that must stay free for the growth of running streams; the times between two
+     * ends vary, up to about three times their mean.
      */
-    private static final double GROWTH_SHARE = 0.06;
+    private static final double GROWTH_OUTPUTS = 3;
 
     /**
-     * Share that late requests must leave free: space for about two in-time requests that may
-     * arrive before a stream ends.
+     * Largest share of the KV cache that is kept free for growth, so that servers with room for few
+     * streams are used too.
      */
-    private static final double LATE_SHARE = 0.15;
+    private static final double MAXIMUM_GROWTH_SHARE = 0.25;
+
+    private final RequestSizeEstimator sizes;
 
     /**
-     * Returns the tokens to reserve for a request.
+     * Creates a sizer.
      *
-     * @param counts the token counts of the request
-     * @return the prompt and part of the expected output
+     * @param sizes the mean sizes of the service's requests
      */
-    public long tokensToReserve(TokenCounts counts) {
-        return counts.tokensToReserve(OUTPUT_FACTOR);
+    public ReservationSizer(RequestSizeEstimator sizes) {
+        this.sizes = sizes;
     }
 
     /**
-     * Returns the mean number of tokens that a request holds while it streams.
+     * Returns the tokens to reserve for a request.
      *
      * @param counts the token counts of the request
-     * @return the prompt and half of the expected output
+     * @return the prompt and part of the expected output
      */
-    public long meanHeldTokens(TokenCounts counts) {
-        return counts.tokensToReserve(MEAN_PROGRESS);
+    public long tokensToReserve(TokenCounts counts) {
+        return counts.tokensToReserve(OUTPUT_FACTOR);
     }
 
     /**
      * Returns the tokens that must be free beyond the reservation.
      *
+     * <p>A late request must also leave room for the prompt of a request that can still be in time,
+     * which may arrive before a stream ends.
+     *
      * @param reservedTokens the tokens reserved for the request
      * @param late whether the request has missed its latency objective
      * @param kvCacheTokens the capacity of a server's KV cache
@@ -65,7 +69,11 @@
      *     nearly fills a server, so that an empty server accepts it
      */
     public long spareTokens(long reservedTokens, boolean late, long kvCacheTokens) {
-        long wantedTokens = (long) ((late ? LATE_SHARE : GROWTH_SHARE) * kvCacheTokens);
+        double growthTokens =
+                Math.min(
+                        GROWTH_OUTPUTS * sizes.meanOutputTokens(),
+                        MAXIMUM_GROWTH_SHARE * kvCacheTokens);
+        long wantedTokens = (long) (growthTokens + (late ? sizes.meanPromptTokens() : 0));
         return Math.max(0, Math.min(wantedTokens, kvCacheTokens - reservedTokens));
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StagePlanner.java
@@ -35,6 +35,12 @@
     /** The same if a stage has no server at all, since every request is affected. */
     private static final long EMPTY_STAGE_SETTLE_MILLIS = 3_000;
 
+    /**
+     * How long a change is not reversed under load unless servers leave: the estimates of two
+     * entries differ, and each change takes a server out of service for seconds.
+     */
+    private static final long REVERSAL_SETTLE_MILLIS = 20_000;
+
     /** How long a vanished server counts as present: longer than a crashed one takes to return. */
     private static final long VANISHED_GRACE_MILLIS = 8_000;
 
@@ -47,6 +53,8 @@
     private List<DirectServer> lastSeen = List.of();
     private long changedMillis;
     private long lastGrowthMillis;
+    private long lastLossMillis;
+    private Optional<RecordedChange> lastChange = Optional.empty();
 
     /**
      * Decides on the next stage change.
@@ -76,11 +84,22 @@
                         loaded);
         boolean settled = nowMillis >= settledMillis(emptyStage, loaded);
         boolean switching = loaded && !pendingChanges.isEmpty();
-        return settled && !switching ? change : Optional.empty();
+        return settled && !switching
+                ? change.filter(next -> emptyStage || !loaded || !isReversal(next, nowMillis))
+                : Optional.empty();
+    }
+
+    private boolean isReversal(StageSplitPolicy.Change change, long nowMillis) {
+        return lastChange
+                .filter(last -> last.stage != change.stage())
+                .filter(last -> last.millis >= lastLossMillis)
+                .filter(last -> nowMillis < last.millis + REVERSAL_SETTLE_MILLIS)
+                .isPresent();
     }
 
     /**
-     * Records that a server was commanded to change its stage.
+     * Records that a server was or will be commanded to change its stage, by this entry or by
+     * another one.
      *
      * @param change the change
      * @param switchMillis how long the server is unavailable
@@ -91,6 +110,7 @@
         pendingChanges.put(
                 change.server().incarnation(),
                 new PendingChange(change.stage(), nowMillis + switchMillis + REPORT_GRACE_MILLIS));
+        lastChange = Optional.of(new RecordedChange(change.stage(), nowMillis));
         // The expected list now matches the plan, so the commanded stage change does not restart
         // the settling time.
         lastSeen = withPendingChanges(lastSeen);
@@ -110,6 +130,7 @@
                     current.stream()
                             .filter(server -> !before.contains(server.incarnation()))
                             .anyMatch(server -> !vanishedByAddress.containsKey(server.address()));
+            lastLossMillis = present.containsAll(before) ? lastLossMillis : nowMillis;
             lastGrowthMillis = grown ? nowMillis : lastGrowthMillis;
             changedMillis = nowMillis;
             lastSeen = current;
@@ -151,6 +172,9 @@
         return servers.stream().map(DirectServer::incarnation).collect(Collectors.toSet());
     }
 
+    /** The stage that the last change leads to, and the time of its command. */
+    private record RecordedChange(Stage stage, long millis) {}
+
     /** A change that the server may still be carrying out. */
     private record PendingChange(Stage stage, long endMillis) {}
 
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StagePlannerTest.java
@@ -162,6 +162,29 @@
                 .isEqualTo(expected);
     }
 
+    /** Two entries' estimates of the share differ; the second one would undo the first change. */
+    @ParameterizedTest
+    @CsvSource({"false, 25000", "true, 17500"})
+    void changeIsNotReversedForAWhileUnlessServersLeave(boolean serverLeaves, long dueMillis) {
+        List<DirectServer> servers = servers(3, 5);
+        planner.decide(servers, List.of(), 0.2, true, 0);
+        Change change = planner.decide(servers, List.of(), 0.2, true, 8_000).orElseThrow();
+        planner.recordStageChange(change, SWITCH_MILLIS, 5_000);
+        List<DirectServer> changed = new ArrayList<>(servers);
+        changed.remove(change.server());
+        changed.add(change.server().withStage(Stage.DECODE));
+        planner.decide(changed, List.of(), 0.2, true, 14_500);
+        if (serverLeaves) {
+            planner.decide(changed, List.of(), 0.2, true, 16_400);
+            DirectServer left = changed.remove(0);
+            planner.decide(changed, List.of(left), 0.2, true, 16_500);
+        }
+
+        assertThat(planner.decide(changed, List.of(), 0.45, true, dueMillis - 1)).isEmpty();
+        assertThat(planner.decide(changed, List.of(), 0.45, true, dueMillis).map(Change::stage))
+                .contains(Stage.PREFILL);
+    }
+
     private static List<DirectServer> servers(int prefill, int decode) {
         List<DirectServer> servers = new ArrayList<>();
         for (int i = 0; i < prefill; i++) {
