Recover from responses of the store that have another shape

Cause: only an IllegalArgumentException was taken for an unreadable response. JSON of another shape fails in other ways too, the call's future stayed open, and the watcher waited for it for ever: the entry kept its old routes and servers until a restart. Change: any failure to read a response is a failure of the call. The flows also subscribe to the view before it starts (by reading; no test shows the race).

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/StoreCalls.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/StoreCalls.java
@@ -71,10 +71,14 @@
         }
         try {
             return reader.apply(new StoreResponse(result.getResponse(), content));
-        } catch (IllegalArgumentException e) {
+        } catch (RuntimeException e) {
+            // JSON of another shape fails in many ways; without a result, callers would wait for
+            // ever.
             return Either.left(
                     new StoreFailure(
-                            StoreFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN, e.getMessage()));
+                            StoreFailure.Kind.MALFORMED,
+                            Verdict.MAY_HAVE_RUN,
+                            "unreadable response of the store: " + e));
         }
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -154,9 +154,10 @@
             httpClient.setDestinationIdleTimeout(DESTINATION_IDLE_TIMEOUT_MILLIS);
             httpClient.start();
             BackendHttpClients.disableResponseProcessing(httpClient);
+            // Subscribes to the view before it has anything to report.
+            flows.start();
             view.start();
             membership.start();
-            flows.start();
             coordinator.start();
             settings.start(timer);
             SignalHandlers.onHangup(() -> settings.reload("SIGHUP"));
