--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -39,8 +39,8 @@
     private static final long PERIOD_MILLIS = 500;
 
     /**
-     * Time from the announcement of a change to the command under load: most requests for which
-     * capacity was reserved before have started by then.
+     * Longest time from the announcement of a change to the command under load: most requests for
+     * which capacity was reserved before have started by then.
      */
     private static final long NOTICE_LEAD_MILLIS = 500;
 
@@ -172,7 +172,10 @@
             commandInFlight = false;
             return;
         }
-        long leadMillis = loaded.getAsBoolean() ? NOTICE_LEAD_MILLIS : 0;
+        long leadMillis =
+                loaded.getAsBoolean()
+                        ? Math.min(NOTICE_LEAD_MILLIS, lease.durationMillis() / 2)
+                        : 0;
         publish(command.notice(leadMillis));
         context.schedule(leadMillis, () -> send(command, token.getAsLong()));
     }
