Never take an error on resumption for the end of a stream

Change: a response to a resumption that is not a success breaks the attempt. DirectStreamTest.errorOnResumptionNeverLooksLikeTheEndOfTheStream failed before, passes now.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -7,6 +7,7 @@
 import dev.foxtailshed.kernel.direct.EventStreamSplitter;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * One attempt with a streamed response: complete events are forwarded to the caller as they arrive.
@@ -115,6 +116,11 @@
     public void onHead(int headStatus, HttpFields headers) {
         status = headStatus;
         lastBytesMillis = context.timer().nowMillis();
+        if (flow.isResponseStarted() && !HttpStatus.isSuccess(headStatus)) {
+            // Its body is not a part of the stream that the caller is receiving.
+            call.abort(CallOutcome.BROKEN, "status " + headStatus + " to a resumption");
+            return;
+        }
         // Only the first call takes effect, so a resumed stream keeps the head of its first server.
         flow.startResponse(headStatus, headers);
     }
