Log where a stream broke off and where it was resumed

An ORDER report says that a stream had pieces missing, twice or of two runs, or ended as complete before its last piece. The log could not tell these apart: STREAM_ENDED had the number of events only, and ATTEMPT_FAILED nothing of the stream.

STREAM_ENDED now has the status of the last attempt's response, the id after which that attempt resumed, its first and last event id and the bytes of an event that was not complete. STREAM_BROKEN (E5010) and the counter streams.broken say the same of an attempt that ends after its response had started. An error on resumption shows as a status other than 2xx, a stream that ends inside an event as incomplete bytes, a stream that starts again or skips events as a first id that does not follow the id resumed after.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -9,6 +9,7 @@
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** Updates metrics and writes one log line for each decision about a request. Thread-safe. */
@@ -66,16 +67,58 @@
     }
 
     /** Records the completion of a model request's stream. */
-    void recordStreamEnd(CallerRequest request, String server, long tookMillis, int events) {
+    void recordStreamEnd(
+            CallerRequest request,
+            String server,
+            long tookMillis,
+            int events,
+            StreamPosition position) {
         registry.timer("streams.ran").update(tookMillis, TimeUnit.MILLISECONDS);
         EventLog.log(
                 EventCode.STREAM_ENDED,
                 Field.of("request", request.id()),
                 Field.of("server", server),
                 Field.of("events", events),
-                Field.of("tookMillis", tookMillis));
+                Field.of("tookMillis", tookMillis),
+                Field.of("status", position.status()),
+                Field.of("resumedAfter", position.resumedAfter().orElse(-1)),
+                Field.of("firstEventId", position.firstEventId().orElse(-1)),
+                Field.of("lastEventId", position.lastEventId().orElse(-1)),
+                Field.of("incompleteBytes", position.incompleteBytes()));
     }
 
+    /** Records that an attempt ended after the response had started and before it was complete. */
+    void recordStreamBreak(
+            CallerRequest request, String server, CallOutcome outcome, StreamPosition position) {
+        registry.counter("streams.broken").inc();
+        EventLog.log(
+                EventCode.STREAM_BROKEN,
+                Field.of("request", request.id()),
+                Field.of("server", server),
+                Field.of("outcome", outcome.name()),
+                Field.of("status", position.status()),
+                Field.of("resumedAfter", position.resumedAfter().orElse(-1)),
+                Field.of("firstEventId", position.firstEventId().orElse(-1)),
+                Field.of("lastEventId", position.lastEventId().orElse(-1)),
+                Field.of("incompleteBytes", position.incompleteBytes()));
+    }
+
+    /**
+     * The position that an attempt has reached in a stream.
+     *
+     * @param status the status of the attempt's response; 0 without a response
+     * @param resumedAfter the id of the event after which the attempt resumed the stream
+     * @param firstEventId the id of the attempt's first event
+     * @param lastEventId the id of the last event of the stream
+     * @param incompleteBytes the size of the event that had not arrived completely
+     */
+    record StreamPosition(
+            int status,
+            OptionalLong resumedAfter,
+            OptionalLong firstEventId,
+            OptionalLong lastEventId,
+            int incompleteBytes) {}
+
     /**
      * The parts of the time to the first event.
      *
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -256,7 +256,8 @@
                             request,
                             current.server().id(),
                             current.elapsedMillis(),
-                            splitter.eventCount());
+                            splitter.eventCount(),
+                            current.position());
             endResponse(current.status());
         } else {
             handleFailedAttempt(current.server(), outcome, detail);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -1,11 +1,13 @@
 package dev.foxtailshed.daemon.internal.direct;
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol.AttemptOptions;
+import dev.foxtailshed.daemon.internal.direct.DirectRequestRecorder.StreamPosition;
 import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.EventStreamSplitter;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 
@@ -35,6 +37,7 @@
     private final EventStreamSplitter splitter;
     private final Listener listener;
     private final BackendCall call;
+    private final OptionalLong resumedAfter;
     private final long stallTimeoutMillis;
     private int status;
     private boolean hasEvents;
@@ -64,6 +67,7 @@
         this.flow = flow;
         this.splitter = splitter;
         this.listener = listener;
+        this.resumedAfter = options.resumeAfter();
         this.stallTimeoutMillis =
                 Math.max(
                         MINIMUM_STALL_TIMEOUT_MILLIS,
@@ -72,6 +76,7 @@
     }
 
     void send() {
+        splitter.startRun();
         call.send();
         lastBytesMillis = context.timer().nowMillis();
         if (flow.request.route().repeatability().mayRunAgain() && flow.remainingServers() > 0) {
@@ -99,6 +104,16 @@
         return hasEvents;
     }
 
+    /** Returns the position that this attempt has reached in the stream. */
+    StreamPosition position() {
+        return new StreamPosition(
+                status,
+                resumedAfter,
+                splitter.firstEventId(),
+                splitter.lastEventId(),
+                splitter.incompleteEvent().length);
+    }
+
     private void scheduleStallCheck(long delayMillis) {
         stallTimer = Optional.of(context.schedule(delayMillis, this::checkStall));
     }
@@ -151,7 +166,10 @@
         if (complete && splitter.incompleteEvent().length > 0) {
             flow.writeResponse(splitter.incompleteEvent());
         }
-        splitter.discardIncompleteEvent();
+        if (!complete && outcome != CallOutcome.CANCELLED && status != 0) {
+            context.recorder()
+                    .recordStreamBreak(flow.request, call.server().id(), outcome, position());
+        }
         listener.onEnd(this, outcome, detail);
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -78,6 +78,7 @@
     ATTEMPT_FAILED(5006, Level.INFO, "An attempt at a backend server failed."),
     STREAM_STARTED(5007, Level.INFO, "A model server sent the first event of a stream."),
     STREAM_ENDED(5008, Level.INFO, "A stream of a model server was completed."),
+    STREAM_BROKEN(5010, Level.INFO, "A stream broke off after its response had started."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
@@ -16,6 +16,7 @@
     private static final String ID_FIELD = "id:";
 
     private byte[] incompleteEvent = new byte[0];
+    private OptionalLong firstEventId = OptionalLong.empty();
     private OptionalLong lastEventId = OptionalLong.empty();
     private int eventCount;
 
@@ -48,9 +49,10 @@
         return incompleteEvent;
     }
 
-    /** Discards the bytes of the incomplete event. */
-    public void discardIncompleteEvent() {
+    /** Discards the bytes of the incomplete event, since the stream continues with another run. */
+    public void startRun() {
         incompleteEvent = new byte[0];
+        firstEventId = OptionalLong.empty();
     }
 
     /**
@@ -71,6 +73,15 @@
         return eventCount;
     }
 
+    /**
+     * Returns the id of the first complete event of this run that has a numeric id.
+     *
+     * @return the id, or empty if there was no such event
+     */
+    public OptionalLong firstEventId() {
+        return firstEventId;
+    }
+
     /**
      * Returns the id of the last complete event that has a numeric id.
      *
@@ -113,6 +124,7 @@
             if (line.startsWith(ID_FIELD)) {
                 try {
                     lastEventId = OptionalLong.of(Long.parseLong(line.substring(3).trim()));
+                    firstEventId = firstEventId.isPresent() ? firstEventId : lastEventId;
                 } catch (NumberFormatException e) {
                     // A stream cannot be resumed from a non-numeric id, so the previous id is kept.
                     continue;
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
@@ -39,8 +39,11 @@
         assertThat(splitter.lastEventId()).isEqualTo(OptionalLong.of(7));
         assertThat(splitter.incompleteEvent()).isEqualTo(bytes("id: 8\nda"));
 
-        splitter.discardIncompleteEvent();
+        splitter.startRun();
+        assertThat(splitter.incompleteEvent()).isEmpty();
+        assertThat(splitter.firstEventId()).isEmpty();
         assertThat(splitter.feed(bytes("id: 8\ndata: b\n\n"))).isPresent();
+        assertThat(splitter.firstEventId()).isEqualTo(OptionalLong.of(8));
         assertThat(splitter.lastEventId()).isEqualTo(OptionalLong.of(8));
     }
 
