Take a stream that ends inside an event for broken off

A caller got a stream whose last event was cut short, as a complete response. A server that stops may close its connection in good order, and a stream without a length or chunks ends with its connection: StreamRelay took that end for the end of the stream, and wrote the incomplete event out.

A valid response that ends with complete framing is now checked by the listener of the attempt. An event stream that ends inside an event is BROKEN, as a lost connection is: it is resumed after its last complete event, or the caller's connection is broken off. Bodies that are not event streams (errors, other content types) are not checked.

The check needs the exact end of an event, so EventStreamSplitter now reads line by line, as the format of server-sent events requires: an empty line ends an event, whether lines end with LF, CRLF or CR. A further empty line was held back as if it began another event; a stream with CR only was held back to its end.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -61,6 +61,15 @@
         /** Called with the next bytes of the body. */
         void onBytes(byte[] bytes);
 
+        /**
+         * Called when a valid response ends with complete framing.
+         *
+         * @return what is missing from the response, empty if it is complete
+         */
+        default Optional<String> findMissingPart() {
+            return Optional.empty();
+        }
+
         /** Called when the attempt has ended; the last call. */
         void onEnd(CallOutcome outcome, String detail);
     }
@@ -168,7 +177,16 @@
 
     @Override
     public void onComplete(Response response) {
-        context.runOnLoop(() -> end(outcome, detail));
+        context.runOnLoop(
+                () -> {
+                    Optional<String> missing =
+                            forwarding && !ended ? listener.findMissingPart() : Optional.empty();
+                    if (missing.isPresent()) {
+                        end(CallOutcome.BROKEN, missing.get());
+                    } else {
+                        end(outcome, detail);
+                    }
+                });
     }
 
     @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -6,9 +6,11 @@
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.EventStreamSplitter;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
@@ -32,6 +34,8 @@
     /** Largest event that is buffered; events hold a few tokens. */
     private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
 
+    private static final String EVENT_STREAM_TYPE = "text/event-stream";
+
     private final DirectContext context;
     private final DirectFlow flow;
     private final EventStreamSplitter splitter;
@@ -40,6 +44,7 @@
     private final OptionalLong resumedAfter;
     private final long stallTimeoutMillis;
     private int status;
+    private boolean isEventStream;
     private boolean hasEvents;
     private Optional<Subscription> stallTimer = Optional.empty();
     private long lastBytesMillis;
@@ -136,10 +141,24 @@
             call.abort(CallOutcome.BROKEN, "status " + headStatus + " to a resumption");
             return;
         }
+        isEventStream = HttpStatus.isSuccess(headStatus) && mayHaveEvents(headers);
         // Only the first call takes effect, so a resumed stream keeps the head of its first server.
         flow.startResponse(headStatus, headers);
     }
 
+    private static boolean mayHaveEvents(HttpFields headers) {
+        String type = headers.get(HttpHeader.CONTENT_TYPE);
+        return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM_TYPE);
+    }
+
+    @Override
+    public Optional<String> findMissingPart() {
+        // A server that stops may close its connection in good order inside an event.
+        return isEventStream && splitter.incompleteEvent().length > 0
+                ? Optional.of("the stream ended inside an event")
+                : Optional.empty();
+    }
+
     @Override
     public void onBytes(byte[] bytes) {
         lastBytesMillis = context.timer().nowMillis();
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
@@ -9,7 +9,8 @@
  * Splits a stream of server-sent events at event boundaries.
  *
  * <p>Only complete events are passed on, so that a stream that breaks within an event can be
- * resumed at another server. The bytes are not changed. Not thread-safe.
+ * resumed at another server. An empty line ends an event; a line ends with CR, LF or both. The
+ * bytes are not changed. Not thread-safe.
  */
 public final class EventStreamSplitter {
 
@@ -29,15 +30,13 @@
     public Optional<byte[]> feed(byte[] bytes) {
         byte[] buffered = Arrays.copyOf(incompleteEvent, incompleteEvent.length + bytes.length);
         System.arraycopy(bytes, 0, buffered, incompleteEvent.length, bytes.length);
-        int end = endOfLastEvent(buffered);
-        incompleteEvent = Arrays.copyOfRange(buffered, end, buffered.length);
-        if (end == 0) {
-            return Optional.empty();
+        int end = 0;
+        for (int next = endOfEvent(buffered, 0); next > end; next = endOfEvent(buffered, end)) {
+            recordEvent(buffered, end, next);
+            end = next;
         }
-        byte[] completeEvents = Arrays.copyOf(buffered, end);
-        eventCount += countEvents(completeEvents);
-        updateLastEventId(completeEvents);
-        return Optional.of(completeEvents);
+        incompleteEvent = Arrays.copyOfRange(buffered, end, buffered.length);
+        return end == 0 ? Optional.empty() : Optional.of(Arrays.copyOf(buffered, end));
     }
 
     /**
@@ -91,45 +90,52 @@
         return lastEventId;
     }
 
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int i = bytes.length - 1; i > 0; i--) {
-            if (bytes[i] != '\n') {
+    /**
+     * Returns the index after the event that begins at {@code start}, or start if it is incomplete.
+     */
+    private static int endOfEvent(byte[] bytes, int start) {
+        int lineStart = start;
+        for (int i = start; i < bytes.length; i++) {
+            if (bytes[i] != '\n' && bytes[i] != '\r') {
                 continue;
             }
-            boolean afterLf = bytes[i - 1] == '\n';
-            boolean afterCrLf =
-                    i > 2 && bytes[i - 1] == '\r' && bytes[i - 2] == '\n' && bytes[i - 3] == '\r';
-            if (afterLf || afterCrLf) {
-                return i + 1;
+            boolean emptyLine = i == lineStart;
+            if (bytes[i] == '\r' && i + 1 < bytes.length && bytes[i + 1] == '\n') {
+                i++;
+            }
+            lineStart = i + 1;
+            if (emptyLine) {
+                return lineStart;
             }
         }
-        return 0;
+        return start;
     }
 
-    private static int countEvents(byte[] completeEvents) {
-        int count = 0;
-        for (int i = 1; i < completeEvents.length; i++) {
-            boolean emptyLine =
-                    completeEvents[i - 1] == '\n'
-                            || (completeEvents[i - 1] == '\r'
-                                    && i > 1
-                                    && completeEvents[i - 2] == '\n');
-            count += completeEvents[i] == '\n' && emptyLine ? 1 : 0;
+    private void recordEvent(byte[] bytes, int start, int end) {
+        String event = new String(bytes, start, end - start, StandardCharsets.UTF_8);
+        if (event.isBlank()) {
+            // A further empty line, or the second half of a CRLF that ended the event before.
+            return;
         }
-        return count;
+        eventCount++;
+        event.lines()
+                .filter(line -> line.startsWith(ID_FIELD))
+                .map(line -> parseId(line.substring(ID_FIELD.length())))
+                .flatMapToLong(OptionalLong::stream)
+                .forEach(this::recordId);
     }
 
-    private void updateLastEventId(byte[] completeEvents) {
-        for (String line : new String(completeEvents, StandardCharsets.UTF_8).split("\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                try {
-                    lastEventId = OptionalLong.of(Long.parseLong(line.substring(3).trim()));
-                    firstEventId = firstEventId.isPresent() ? firstEventId : lastEventId;
-                } catch (NumberFormatException e) {
-                    // A stream cannot be resumed from a non-numeric id, so the previous id is kept.
-                    continue;
-                }
-            }
+    private void recordId(long id) {
+        lastEventId = OptionalLong.of(id);
+        firstEventId = firstEventId.isPresent() ? firstEventId : lastEventId;
+    }
+
+    private static OptionalLong parseId(String text) {
+        try {
+            return OptionalLong.of(Long.parseLong(text.trim()));
+        } catch (NumberFormatException e) {
+            // A stream cannot be resumed from a non-numeric id, so the previous id is kept.
+            return OptionalLong.empty();
         }
     }
 }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
@@ -14,7 +14,7 @@
 class EventStreamSplitterTest {
 
     @ParameterizedTest
-    @ValueSource(strings = {"\n", "\r\n"})
+    @ValueSource(strings = {"\n", "\r\n", "\r"})
     void passesCompleteEventsHoweverTheBytesAreChunked(String lineEnd) {
         String stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n".replace("\n", lineEnd);
         byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
@@ -30,6 +30,18 @@
         }
     }
 
+    /** Empty lines after an event are not the beginning of another one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", "\r"})
+    void furtherEmptyLinesAreNotAnIncompleteEvent(String lineEnd) {
+        EventStreamSplitter splitter = new EventStreamSplitter();
+        assertThat(splitter.feed(bytes("id: 7\n\n".replace("\n", lineEnd)))).isPresent();
+
+        assertThat(splitter.feed(bytes(lineEnd))).hasValue(bytes(lineEnd));
+        assertThat(splitter.incompleteEvent()).isEmpty();
+        assertThat(splitter.eventCount()).isEqualTo(1);
+    }
+
     @Test
     void incompleteEventIsHeldBack() {
         EventStreamSplitter splitter = new EventStreamSplitter();
