Never send events behind an error that broke off

A caller of a resumable stream could get status 500 with the events of a successful run as its body. The first server answered with an error of its own and broke off within it. StreamRelay had already set the caller's status and headers from that error, so the next attempt counted as a resumption, whose status was not compared with the one already set, and its events became the body of the error.

A response to a streamed request that is not an event stream is now forwarded when it is complete. If it breaks off, nothing of it was set, and the next attempt starts the response anew. Only an event stream may continue a response that has started, which also covers a success of another content type.

On the code before, eventsNeverFollowAnErrorThatBrokeOff failed: "expected: 200 but was: 500".

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -6,6 +6,7 @@
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.EventStreamSplitter;
+import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -16,6 +17,9 @@
 /**
  * One attempt with a streamed response: complete events are forwarded to the caller as they arrive.
  *
+ * <p>A response that is not an event stream, such as an error, is forwarded when it is complete, so
+ * that another attempt can still replace it.
+ *
  * <p>A stream that stalls is aborted if it can continue at another server. If it cannot, it is kept
  * until the deadline, since the server may have preempted it and may resume it later. Runs on the
  * entry's loop.
@@ -31,8 +35,8 @@
      */
     private static final long STALL_TIMEOUT_GAPS = 8;
 
-    /** Largest event that is buffered; events hold a few tokens. */
-    private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+    /** Largest event, or response without events, that is buffered; events hold a few tokens. */
+    private static final int MAXIMUM_BUFFERED_BYTES = 1 << 20;
 
     private static final String EVENT_STREAM_TYPE = "text/event-stream";
 
@@ -43,8 +47,10 @@
     private final BackendCall call;
     private final OptionalLong resumedAfter;
     private final long stallTimeoutMillis;
+    private final ByteArrayOutputStream heldBody = new ByteArrayOutputStream();
     private int status;
     private boolean isEventStream;
+    private HttpFields heldHeaders = HttpFields.EMPTY;
     private boolean hasEvents;
     private Optional<Subscription> stallTimer = Optional.empty();
     private long lastBytesMillis;
@@ -136,14 +142,16 @@
     public void onHead(int headStatus, HttpFields headers) {
         status = headStatus;
         lastBytesMillis = context.timer().nowMillis();
-        if (flow.isResponseStarted() && !HttpStatus.isSuccess(headStatus)) {
+        isEventStream = HttpStatus.isSuccess(headStatus) && mayHaveEvents(headers);
+        if (isEventStream) {
+            // Only the first call takes effect, so a resumed stream keeps its first server's head.
+            flow.startResponse(headStatus, headers);
+        } else if (flow.isResponseStarted()) {
             // Its body is not a part of the stream that the caller is receiving.
             call.abort(CallOutcome.BROKEN, "status " + headStatus + " to a resumption");
-            return;
+        } else {
+            heldHeaders = headers;
         }
-        isEventStream = HttpStatus.isSuccess(headStatus) && mayHaveEvents(headers);
-        // Only the first call takes effect, so a resumed stream keeps the head of its first server.
-        flow.startResponse(headStatus, headers);
     }
 
     private static boolean mayHaveEvents(HttpFields headers) {
@@ -162,19 +170,23 @@
     @Override
     public void onBytes(byte[] bytes) {
         lastBytesMillis = context.timer().nowMillis();
-        Optional<byte[]> events = splitter.feed(bytes);
-        if (splitter.incompleteEvent().length > MAXIMUM_EVENT_BYTES) {
+        if (isEventStream) {
+            splitter.feed(bytes).ifPresent(this::forwardEvents);
+        } else {
+            heldBody.writeBytes(bytes);
+        }
+        if (Math.max(splitter.incompleteEvent().length, heldBody.size()) > MAXIMUM_BUFFERED_BYTES) {
             call.abort(
                     CallOutcome.BROKEN,
-                    "an event is larger than " + MAXIMUM_EVENT_BYTES + " bytes");
-            return;
+                    "an event or error is larger than " + MAXIMUM_BUFFERED_BYTES + " bytes");
         }
-        if (events.isPresent()) {
-            flow.writeResponse(events.get());
-            if (!hasEvents) {
-                hasEvents = true;
-                listener.onFirstEvent(this);
-            }
+    }
+
+    private void forwardEvents(byte[] events) {
+        flow.writeResponse(events);
+        if (!hasEvents) {
+            hasEvents = true;
+            listener.onFirstEvent(this);
         }
     }
 
@@ -182,8 +194,11 @@
     public void onEnd(CallOutcome outcome, String detail) {
         stallTimer.ifPresent(Subscription::cancel);
         boolean complete = outcome == CallOutcome.ANSWERED || outcome == CallOutcome.SERVER_ERROR;
-        if (complete && splitter.incompleteEvent().length > 0) {
-            flow.writeResponse(splitter.incompleteEvent());
+        if (complete && !isEventStream) {
+            flow.startResponse(status, heldHeaders);
+            if (heldBody.size() > 0) {
+                flow.writeResponse(heldBody.toByteArray());
+            }
         }
         if (!complete && outcome != CallOutcome.CANCELLED && status != 0) {
             context.recorder()
