Break an attempt whose events repeat or go back

A caller could get events of a stream twice, or of an earlier position behind later ones, in a response that ends as complete. A server that ignores Last-Event-Id, or a late response to an earlier attempt of the same request at the same server (it bears the same id, so BackendCall takes it for the resumption), begins at the first event again. Nothing compared the ids of the events with those already forwarded; the sidecar way has had AnswerSequence and AttemptProgress for that.

EventSequence in the kernel holds the last id of a stream over all its attempts, beginning with the id after which the caller itself resumes. The splitter returns nothing from the first event on whose id is not larger, and the relay breaks the attempt: the stream is resumed after its last good event, or the caller's connection is broken off. The protocol promises increasing ids only, so a missing event cannot be told from a step and is not detected; ids that are not numbers are not compared.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -9,6 +9,7 @@
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
+import dev.foxtailshed.kernel.direct.EventSequence;
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
@@ -153,6 +154,15 @@
                 OptionalLong.empty());
     }
 
+    /** Creates the check of a stream's order, beginning where the caller resumes the stream. */
+    final EventSequence newEventSequence() {
+        // A server ignores the caller's last id where a route's streams cannot be resumed.
+        return new EventSequence(
+                request.route().repeatability().mayRunAgain()
+                        ? request.attributes().resumeAfterEventId()
+                        : OptionalLong.empty());
+    }
+
     final boolean isResponseStarted() {
         return caller.isStarted();
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -35,7 +35,7 @@
 
     private final ModelService service;
     private final TokenCounts tokenCounts;
-    private final EventStreamSplitter splitter = new EventStreamSplitter();
+    private final EventStreamSplitter splitter;
     private Optional<Waiter<ModelFlow>> waiter = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
     private Optional<DirectServer> claimedPrefillServer = Optional.empty();
@@ -60,6 +60,7 @@
         super(context, request, caller);
         this.service = service;
         this.tokenCounts = tokenCounts;
+        this.splitter = new EventStreamSplitter(newEventSequence());
     }
 
     /**
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
@@ -12,7 +12,7 @@
 final class PlainStreamFlow extends DirectFlow implements StreamRelay.Listener {
 
     private final ServerSelector selector;
-    private final EventStreamSplitter splitter = new EventStreamSplitter();
+    private final EventStreamSplitter splitter;
     private Optional<StreamRelay> current = Optional.empty();
 
     PlainStreamFlow(
@@ -22,6 +22,7 @@
             ServerSelector selector) {
         super(context, request, caller);
         this.selector = selector;
+        this.splitter = new EventStreamSplitter(newEventSequence());
     }
 
     @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -78,7 +78,10 @@
         this.flow = flow;
         this.splitter = splitter;
         this.listener = listener;
-        this.resumedAfter = options.resumeAfter();
+        this.resumedAfter =
+                options.resumeAfter().isPresent()
+                        ? options.resumeAfter()
+                        : flow.request.attributes().resumeAfterEventId();
         this.stallTimeoutMillis =
                 Math.max(
                         MINIMUM_STALL_TIMEOUT_MILLIS,
@@ -175,7 +178,12 @@
         } else {
             heldBody.writeBytes(bytes);
         }
-        if (Math.max(splitter.incompleteEvent().length, heldBody.size()) > MAXIMUM_BUFFERED_BYTES) {
+        if (splitter.misplacedEventId().isPresent()) {
+            call.abort(
+                    CallOutcome.BROKEN,
+                    "event " + splitter.misplacedEventId().getAsLong() + " is out of order");
+        } else if (Math.max(splitter.incompleteEvent().length, heldBody.size())
+                > MAXIMUM_BUFFERED_BYTES) {
             call.abort(
                     CallOutcome.BROKEN,
                     "an event or error is larger than " + MAXIMUM_BUFFERED_BYTES + " bytes");
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
@@ -8,31 +8,45 @@
 /**
  * Splits a stream of server-sent events at event boundaries.
  *
- * <p>Only complete events are passed on, so that a stream that breaks within an event can be
- * resumed at another server. An empty line ends an event; a line ends with CR, LF or both. The
+ * <p>Only complete events in order are passed on, so that a stream that breaks within an event can
+ * be resumed at another server. An empty line ends an event; a line ends with CR, LF or both. The
  * bytes are not changed. Not thread-safe.
  */
 public final class EventStreamSplitter {
 
     private static final String ID_FIELD = "id:";
 
+    private final EventSequence sequence;
     private byte[] incompleteEvent = new byte[0];
+    private OptionalLong misplacedEventId = OptionalLong.empty();
     private OptionalLong firstEventId = OptionalLong.empty();
     private OptionalLong lastEventId = OptionalLong.empty();
     private int eventCount;
 
+    /**
+     * Creates a splitter.
+     *
+     * @param sequence checks the order of events
+     */
+    public EventStreamSplitter(EventSequence sequence) {
+        this.sequence = sequence;
+    }
+
     /**
      * Appends received bytes and returns the events that are now complete.
      *
      * @param bytes the received bytes
-     * @return all complete events not yet returned, or empty if there is none
+     * @return all complete events not yet returned, up to the first one out of order, or empty if
+     *     there is none
      */
     public Optional<byte[]> feed(byte[] bytes) {
         byte[] buffered = Arrays.copyOf(incompleteEvent, incompleteEvent.length + bytes.length);
         System.arraycopy(bytes, 0, buffered, incompleteEvent.length, bytes.length);
         int end = 0;
         for (int next = endOfEvent(buffered, 0); next > end; next = endOfEvent(buffered, end)) {
-            recordEvent(buffered, end, next);
+            if (!acceptEvent(buffered, end, next)) {
+                break;
+            }
             end = next;
         }
         incompleteEvent = Arrays.copyOfRange(buffered, end, buffered.length);
@@ -51,9 +65,20 @@
     /** Discards the bytes of the incomplete event, since the stream continues with another run. */
     public void startRun() {
         incompleteEvent = new byte[0];
+        misplacedEventId = OptionalLong.empty();
         firstEventId = OptionalLong.empty();
     }
 
+    /**
+     * Returns the id of the event out of order that ended this run. It was not passed on, and
+     * neither are the events after it.
+     *
+     * @return the id, or empty if all events were in order
+     */
+    public OptionalLong misplacedEventId() {
+        return misplacedEventId;
+    }
+
     /**
      * Returns whether any complete event was received.
      *
@@ -111,23 +136,28 @@
         return start;
     }
 
-    private void recordEvent(byte[] bytes, int start, int end) {
+    private boolean acceptEvent(byte[] bytes, int start, int end) {
         String event = new String(bytes, start, end - start, StandardCharsets.UTF_8);
         if (event.isBlank()) {
             // A further empty line, or the second half of a CRLF that ended the event before.
-            return;
+            return true;
+        }
+        OptionalLong id =
+                event.lines()
+                        .filter(line -> line.startsWith(ID_FIELD))
+                        .map(line -> parseId(line.substring(ID_FIELD.length())))
+                        .flatMapToLong(OptionalLong::stream)
+                        .reduce((earlier, later) -> later);
+        if (id.isPresent()) {
+            if (misplacedEventId.isPresent() || !sequence.accept(id.getAsLong())) {
+                misplacedEventId = id;
+                return false;
+            }
+            lastEventId = id;
+            firstEventId = firstEventId.isPresent() ? firstEventId : id;
         }
         eventCount++;
-        event.lines()
-                .filter(line -> line.startsWith(ID_FIELD))
-                .map(line -> parseId(line.substring(ID_FIELD.length())))
-                .flatMapToLong(OptionalLong::stream)
-                .forEach(this::recordId);
-    }
-
-    private void recordId(long id) {
-        lastEventId = OptionalLong.of(id);
-        firstEventId = firstEventId.isPresent() ? firstEventId : lastEventId;
+        return true;
     }
 
     private static OptionalLong parseId(String text) {
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
@@ -19,7 +19,7 @@
         String stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n".replace("\n", lineEnd);
         byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
         for (int cut = 0; cut <= bytes.length; cut++) {
-            EventStreamSplitter splitter = new EventStreamSplitter();
+            EventStreamSplitter splitter = newSplitter();
             ByteArrayOutputStream passed = new ByteArrayOutputStream();
             splitter.feed(Arrays.copyOf(bytes, cut)).ifPresent(passed::writeBytes);
             splitter.feed(Arrays.copyOfRange(bytes, cut, bytes.length))
@@ -34,7 +34,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"\n", "\r\n", "\r"})
     void furtherEmptyLinesAreNotAnIncompleteEvent(String lineEnd) {
-        EventStreamSplitter splitter = new EventStreamSplitter();
+        EventStreamSplitter splitter = newSplitter();
         assertThat(splitter.feed(bytes("id: 7\n\n".replace("\n", lineEnd)))).isPresent();
 
         assertThat(splitter.feed(bytes(lineEnd))).hasValue(bytes(lineEnd));
@@ -44,7 +44,7 @@
 
     @Test
     void incompleteEventIsHeldBack() {
-        EventStreamSplitter splitter = new EventStreamSplitter();
+        EventStreamSplitter splitter = newSplitter();
         byte[] passed = splitter.feed(bytes("id: 7\ndata: a\n\nid: 8\nda")).orElseThrow();
 
         assertThat(new String(passed, StandardCharsets.UTF_8)).isEqualTo("id: 7\ndata: a\n\n");
@@ -61,11 +61,31 @@
 
     @Test
     void nonNumericIdKeepsThePreviousId() {
-        EventStreamSplitter splitter = new EventStreamSplitter();
+        EventStreamSplitter splitter = newSplitter();
         splitter.feed(bytes("id: 7\n\nid: x\n\n"));
         assertThat(splitter.lastEventId()).isEqualTo(OptionalLong.of(7));
     }
 
+    /** An event that repeats or goes back must not reach the caller, nor any event after it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 8\n\n", "id: 3\n\n", "id: 3\n\nid: 9\n\n"})
+    void nothingFollowsAnEventOutOfOrder(String misplaced) {
+        EventStreamSplitter splitter = newSplitter();
+        assertThat(splitter.feed(bytes("id: 7\n\nid: 8\n\n" + misplaced)))
+                .hasValue(bytes("id: 7\n\nid: 8\n\n"));
+        assertThat(splitter.misplacedEventId()).isPresent();
+        assertThat(splitter.feed(bytes("id: 9\n\n"))).isEmpty();
+        assertThat(splitter.lastEventId()).isEqualTo(OptionalLong.of(8));
+
+        splitter.startRun();
+        assertThat(splitter.misplacedEventId()).isEmpty();
+        assertThat(splitter.feed(bytes("id: 9\n\n"))).hasValue(bytes("id: 9\n\n"));
+    }
+
+    private static EventStreamSplitter newSplitter() {
+        return new EventStreamSplitter(new EventSequence(OptionalLong.empty()));
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
