--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -1,17 +1,25 @@
 package dev.foxtailshed.daemon.internal.direct;
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol.AttemptOptions;
+import dev.foxtailshed.daemon.internal.direct.DirectRequestRecorder.StreamPosition;
 import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.EventStreamSplitter;
+import java.io.ByteArrayOutputStream;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * One attempt with a streamed response: complete events are forwarded to the caller as they arrive.
  *
+ * <p>A response that is not an event stream, such as an error, is forwarded when it is complete, so
+ * that another attempt can still replace it.
+ *
  * <p>A stream that stalls is aborted if it can continue at another server. If it cannot, it is kept
  * until the deadline, since the server may have preempted it and may resume it later. Runs on the
  * entry's loop.
@@ -27,16 +35,22 @@
      */
     private static final long STALL_TIMEOUT_GAPS = 8;
 
-    /** Largest event that is buffered; events hold a few tokens. */
-    private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+    /** Largest event, or response without events, that is buffered; events hold a few tokens. */
+    private static final int MAXIMUM_BUFFERED_BYTES = 1 << 20;
+
+    private static final String EVENT_STREAM_TYPE = "text/event-stream";
 
     private final DirectContext context;
     private final DirectFlow flow;
     private final EventStreamSplitter splitter;
     private final Listener listener;
     private final BackendCall call;
+    private final OptionalLong resumedAfter;
     private final long stallTimeoutMillis;
+    private final ByteArrayOutputStream heldBody = new ByteArrayOutputStream();
     private int status;
+    private boolean isEventStream;
+    private HttpFields heldHeaders = HttpFields.EMPTY;
     private boolean hasEvents;
     private Optional<Subscription> stallTimer = Optional.empty();
     private long lastBytesMillis;
@@ -64,6 +78,10 @@
         this.flow = flow;
         this.splitter = splitter;
         this.listener = listener;
+        this.resumedAfter =
+                options.resumeAfter().isPresent()
+                        ? options.resumeAfter()
+                        : flow.request.attributes().resumeAfterEventId();
         this.stallTimeoutMillis =
                 Math.max(
                         MINIMUM_STALL_TIMEOUT_MILLIS,
@@ -72,6 +90,7 @@
     }
 
     void send() {
+        splitter.startRun();
         call.send();
         lastBytesMillis = context.timer().nowMillis();
         if (flow.request.route().repeatability().mayRunAgain() && flow.remainingServers() > 0) {
@@ -99,6 +118,16 @@
         return hasEvents;
     }
 
+    /** Returns the position that this attempt has reached in the stream. */
+    StreamPosition position() {
+        return new StreamPosition(
+                status,
+                resumedAfter,
+                splitter.firstEventId(),
+                splitter.lastEventId(),
+                splitter.incompleteEvent().length);
+    }
+
     private void scheduleStallCheck(long delayMillis) {
         stallTimer = Optional.of(context.schedule(delayMillis, this::checkStall));
     }
@@ -116,31 +145,56 @@
     public void onHead(int headStatus, HttpFields headers) {
         status = headStatus;
         lastBytesMillis = context.timer().nowMillis();
-        if (flow.isResponseStarted() && !HttpStatus.isSuccess(headStatus)) {
+        isEventStream = HttpStatus.isSuccess(headStatus) && mayHaveEvents(headers);
+        if (isEventStream) {
+            // Only the first call takes effect, so a resumed stream keeps its first server's head.
+            flow.startResponse(headStatus, headers);
+        } else if (flow.isResponseStarted()) {
             // Its body is not a part of the stream that the caller is receiving.
             call.abort(CallOutcome.BROKEN, "status " + headStatus + " to a resumption");
-            return;
+        } else {
+            heldHeaders = headers;
         }
-        // Only the first call takes effect, so a resumed stream keeps the head of its first server.
-        flow.startResponse(headStatus, headers);
+    }
+
+    private static boolean mayHaveEvents(HttpFields headers) {
+        String type = headers.get(HttpHeader.CONTENT_TYPE);
+        return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM_TYPE);
+    }
+
+    @Override
+    public Optional<String> findMissingPart() {
+        // A server that stops may close its connection in good order inside an event.
+        return isEventStream && splitter.incompleteEvent().length > 0
+                ? Optional.of("the stream ended inside an event")
+                : Optional.empty();
     }
 
     @Override
     public void onBytes(byte[] bytes) {
         lastBytesMillis = context.timer().nowMillis();
-        Optional<byte[]> events = splitter.feed(bytes);
-        if (splitter.incompleteEvent().length > MAXIMUM_EVENT_BYTES) {
+        if (isEventStream) {
+            splitter.feed(bytes).ifPresent(this::forwardEvents);
+        } else {
+            heldBody.writeBytes(bytes);
+        }
+        if (splitter.misplacedEventId().isPresent()) {
             call.abort(
                     CallOutcome.BROKEN,
-                    "an event is larger than " + MAXIMUM_EVENT_BYTES + " bytes");
-            return;
+                    "event " + splitter.misplacedEventId().getAsLong() + " is out of order");
+        } else if (Math.max(splitter.incompleteEvent().length, heldBody.size())
+                > MAXIMUM_BUFFERED_BYTES) {
+            call.abort(
+                    CallOutcome.BROKEN,
+                    "an event or error is larger than " + MAXIMUM_BUFFERED_BYTES + " bytes");
         }
-        if (events.isPresent()) {
-            flow.writeResponse(events.get());
-            if (!hasEvents) {
-                hasEvents = true;
-                listener.onFirstEvent(this);
-            }
+    }
+
+    private void forwardEvents(byte[] events) {
+        flow.writeResponse(events);
+        if (!hasEvents) {
+            hasEvents = true;
+            listener.onFirstEvent(this);
         }
     }
 
@@ -148,10 +202,16 @@
     public void onEnd(CallOutcome outcome, String detail) {
         stallTimer.ifPresent(Subscription::cancel);
         boolean complete = outcome == CallOutcome.ANSWERED || outcome == CallOutcome.SERVER_ERROR;
-        if (complete && splitter.incompleteEvent().length > 0) {
-            flow.writeResponse(splitter.incompleteEvent());
+        if (complete && !isEventStream) {
+            flow.startResponse(status, heldHeaders);
+            if (heldBody.size() > 0) {
+                flow.writeResponse(heldBody.toByteArray());
+            }
+        }
+        if (!complete && outcome != CallOutcome.CANCELLED && status != 0) {
+            context.recorder()
+                    .recordStreamBreak(flow.request, call.server().id(), outcome, position());
         }
-        splitter.discardIncompleteEvent();
         listener.onEnd(this, outcome, detail);
     }
 }
