Log the parts of the prompt with each failed attempt

Cause: in the incident in which requests of one kind crashed one model server after the other, the logs told which streams each crash broke, but not what their prompts had in common, so that the hypotheses (a single request, a caller, a part of the prompt, servers that crash by themselves) could not be told apart.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -44,6 +44,7 @@
                 Field.of("server", call.server().id()),
                 Field.of("outcome", outcome.name()),
                 Field.of("detail", detail),
+                Field.of("promptParts", request.attributes().promptParts().ids()),
                 Field.of("tookMillis", call.elapsedMillis()),
                 Field.of("serversRevision", servers.revision()),
                 Field.of("serversAgeMillis", timer.nowMillis() - servers.readMillis()));
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
@@ -10,12 +10,14 @@
  * @param deadlineMillis how long the caller waits for the complete answer, counted from sending
  * @param resumeAfterEventId the id of the last event that the caller has already received
  * @param tokenCounts the token counts of a request to a language model
+ * @param promptParts the parts of its prompt
  */
 public record RequestAttributes(
         Optional<String> attemptId,
         OptionalLong deadlineMillis,
         OptionalLong resumeAfterEventId,
-        Optional<TokenCounts> tokenCounts) {
+        Optional<TokenCounts> tokenCounts,
+        PromptParts promptParts) {
 
     /**
      * Token counts of a request to a language model.
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/FirstEventEstimatorTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/FirstEventEstimatorTest.java
@@ -60,6 +60,7 @@
                 Optional.of("id"),
                 OptionalLong.of(deadlineMillis),
                 OptionalLong.empty(),
-                Optional.of(new TokenCounts(promptTokens, 800, OptionalLong.empty())));
+                Optional.of(new TokenCounts(promptTokens, 800, OptionalLong.empty())),
+                PromptParts.NONE);
     }
 }
