Keep prompts with a part that crashes servers away from model servers

Seen: requests of one kind crashed model servers one after the other. Each crash broke all streams of its server.

Cause: an entry without sidecars suspects nothing. It sends a prompt to the next server whatever happened to the last one; requests with the part are no two alike and come at all entries, so that not even a memory of single requests at one entry would show it.

Change: a request that a server broke off before its first event makes the entry ask whether the server refuses connections, that is, has crashed. It then tells all other entries which prompts the server had not begun to answer. Each entry blames the part that explains the most crashes, from the second on; parts with which an answer has begun since are cleared, also at the other entries. Matching requests are refused at once as not run, without Retry-After. Trials end a refusal that is no longer needed. The evidence is also in the membership records, for entries that restart.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -6,6 +6,7 @@
 import dev.foxtailshed.daemon.hosting.SharedStore;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.http.BackendHttpClients;
+import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.EndpointChain;
 import dev.foxtailshed.daemon.internal.http.HttpConnectors;
 import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
@@ -14,13 +15,16 @@
 import dev.foxtailshed.daemon.internal.role.RunningRole;
 import dev.foxtailshed.daemon.internal.role.SignalHandlers;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
+import dev.foxtailshed.daemon.internal.settings.SettingParsers;
 import dev.foxtailshed.daemon.internal.timer.ExecutorTimerService;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerHealthRegistry;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
+import dev.foxtailshed.kernel.suspects.TrialOrder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -87,6 +91,8 @@
     private final Server control = new Server(threads);
     private final ServerConnector connector;
     private final DeploymentView view;
+    private final SerialExecutor loop;
+    private final CrashGuard crashGuard;
     private final EntryMembership membership;
     private final DirectFlowFactory flows;
     private final StageCoordinator coordinator;
@@ -99,8 +105,7 @@
         SharedStore store =
                 platform.openStore(
                         httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
-        SerialExecutor loop = new SerialExecutor(threads);
-        membership = new EntryMembership(store, initialSettings, timer, loop);
+        loop = new SerialExecutor(threads);
         PeerExchange peers = new PeerExchange(httpClient, this::peerAddresses, random);
         view = new DeploymentView(platform, store, timer, loop, random, peers);
         DirectContext context =
@@ -114,33 +119,56 @@
                         new WindowedRetryBudgets(name -> newRetryBudget()),
                         new DirectRequestRecorder(registry, timer, view::servers),
                         random);
-        flows = new DirectFlowFactory(context, initialSettings.zone(), this::entryCount);
+        EngineControlClient controlClient = new EngineControlClient(context);
+        CrashNotices crashNotices =
+                new CrashNotices(httpClient, timer, this::peerAddresses, this::recordCrashNotice);
+        crashGuard =
+                new CrashGuard(
+                        context,
+                        controlClient,
+                        Clock.systemUTC(),
+                        crashNotices::send,
+                        this::trialRank);
+        membership = new EntryMembership(store, initialSettings, timer, loop, crashGuard);
+        flows =
+                new DirectFlowFactory(
+                        context,
+                        controlClient,
+                        crashGuard,
+                        initialSettings.zone(),
+                        this::entryCount);
         StageChangeNotices notices =
                 new StageChangeNotices(
                         httpClient,
                         this::peerAddresses,
                         notice -> context.runOnLoop(() -> recordNotice(notice)));
-        coordinator = newCoordinator(context, store, notices, initialSettings);
+        coordinator = newCoordinator(context, controlClient, store, notices, initialSettings);
         connector =
                 HttpConnectors.addForwarding(
                         callers, initialSettings.callerAddress(), MAXIMUM_HEAD_BYTES);
+        addControlConnectors(initialSettings);
+        registerGauges();
+        setHandlers(
+                new DirectEndpoint(context, flows, gate),
+                List.of(
+                        new ReadinessEndpoint(this::isReady),
+                        peers,
+                        notices,
+                        crashNotices,
+                        new MetricsTextEndpoint(registry),
+                        new MetricsEndpoint(registry)));
+    }
+
+    private void addControlConnectors(DirectSettings initialSettings) {
         HttpConnectors.add(control, initialSettings.readinessAddress(), Optional.empty());
         if (!initialSettings.controlAddress().equals(initialSettings.readinessAddress())) {
             HttpConnectors.add(control, initialSettings.controlAddress(), Optional.empty());
         }
-        callers.setHandler(
-                new EndpointChain(
-                        List.of(new DirectEndpoint(context, flows, gate)), () -> shuttingDown));
-        control.setHandler(
-                new EndpointChain(
-                        List.of(
-                                new ReadinessEndpoint(this::isReady),
-                                peers,
-                                notices,
-                                new MetricsTextEndpoint(registry),
-                                new MetricsEndpoint(registry)),
-                        () -> shuttingDown));
-        registerGauges();
+    }
+
+    private void setHandlers(Endpoint callerEndpoint, List<Endpoint> controlEndpoints) {
+        callers.setHandler(new EndpointChain(List.of(callerEndpoint), () -> shuttingDown));
+        control.setHandler(new EndpointChain(controlEndpoints, () -> shuttingDown));
         callers.setErrorHandler(new JsonErrorHandler());
         control.setErrorHandler(new JsonErrorHandler());
     }
@@ -203,8 +231,20 @@
         coordinator.recordNotice(notice);
     }
 
+    private void recordCrashNotice(CrashNotice notice) {
+        loop.executeOrEnqueue(() -> crashGuard.onNotice(notice));
+    }
+
+    private int trialRank(Set<String> parts) {
+        return TrialOrder.rank(
+                parts,
+                SettingParsers.text(settings.get().controlAddress()),
+                membership.otherAddresses().stream().map(SettingParsers::text).toList());
+    }
+
     private StageCoordinator newCoordinator(
             DirectContext context,
+            EngineControlClient controlClient,
             SharedStore store,
             StageChangeNotices notices,
             DirectSettings initialSettings) {
@@ -217,7 +257,7 @@
                         initialSettings.leaseMillis());
         return new StageCoordinator(
                 context,
-                flows.controlClient(),
+                controlClient,
                 lease,
                 notices,
                 initialSettings.instance(),
@@ -234,6 +274,8 @@
         registry.register("routes.version", version);
         Gauge<Integer> usable = () -> view.servers().all().size();
         registry.register("servers.usable", usable);
+        Gauge<Integer> patterns = crashGuard::patternCount;
+        registry.register("crashes.patterns", patterns);
         Gauge<Integer> members = () -> membership.count().orElse(0);
         registry.register("entries.live", members);
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -186,9 +186,11 @@
 
     /** Fails the request with the error that its verdict requires. */
     final void fail(String message, boolean timedOut, long retryAfterMillis) {
+        fail(FailureAction.createFailure(verdict, timedOut, message, retryAfterMillis));
+    }
+
+    private void fail(RequestFailure failure) {
         if (!finished) {
-            RequestFailure failure =
-                    FailureAction.createFailure(verdict, timedOut, message, retryAfterMillis);
             context.recorder().recordFailure(request, failure, attempts);
             caller.fail(failure);
             close();
@@ -199,6 +201,11 @@
         fail(message, false, retryDelayMillis());
     }
 
+    /** Fails a request that must not reach a server. */
+    final void failBlocked(String message) {
+        fail(FailureAction.createBlockedFailure(verdict, message));
+    }
+
     final long retryDelayMillis() {
         return RETRY_DELAY_MILLIS + (long) (RETRY_DELAY_MILLIS * context.random().getAsDouble());
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
@@ -29,16 +29,23 @@
     private final String zone;
     private final IntSupplier entryCount;
     private final EngineControlClient controlClient;
+    private final CrashGuard crashGuard;
     private final ServerSelector selector;
     private final Map<String, ModelService> modelServices = new HashMap<>();
     private long lastRequestMillis = Long.MIN_VALUE / 2;
     private volatile int waitingRequests;
 
-    DirectFlowFactory(DirectContext context, String zone, IntSupplier entryCount) {
+    DirectFlowFactory(
+            DirectContext context,
+            EngineControlClient controlClient,
+            CrashGuard crashGuard,
+            String zone,
+            IntSupplier entryCount) {
         this.entryCount = entryCount;
         this.context = context;
         this.zone = zone;
-        this.controlClient = new EngineControlClient(context);
+        this.controlClient = controlClient;
+        this.crashGuard = crashGuard;
         this.selector = new ServerSelector(zone, context.health(), context.random());
     }
 
@@ -60,10 +67,6 @@
         return waitingRequests;
     }
 
-    EngineControlClient controlClient() {
-        return controlClient;
-    }
-
     @Override
     public DirectFlow create(CallerRequest request, CallerStream caller) {
         lastRequestMillis = context.timer().nowMillis();
@@ -74,7 +77,7 @@
         if (request.service().engine().isPresent() && demand.isPresent()) {
             ModelService model = modelService(request.service().name());
             model.recordArrival(demand.get());
-            return new ModelFlow(context, request, caller, model, demand.get());
+            return new ModelFlow(context, request, caller, model, demand.get(), crashGuard);
         }
         return new PlainStreamFlow(context, request, caller, selector);
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import dev.foxtailshed.daemon.hosting.SharedStore;
 import dev.foxtailshed.daemon.hosting.SharedStore.Page;
@@ -42,11 +43,13 @@
     private static final String ADDRESS = "address";
     private static final String ZONE = "zone";
     private static final String REFRESHES = "refreshes";
+    private static final String CRASHES = "crashes";
 
     private final SharedStore store;
     private final DirectSettings settings;
     private final TimerService timer;
     private final Executor executor;
+    private final Attachment crashes;
     private final RevisionLivenessTracker liveness = new RevisionLivenessTracker(4 * PERIOD_MILLIS);
     private final AtomicReference<List<InetSocketAddress>> otherAddresses =
             new AtomicReference<>(List.of());
@@ -54,12 +57,26 @@
             new AtomicReference<>(Optional.empty());
     private long refreshes;
 
+    /** Data that an entry adds to its record, and reads from those of all entries. */
+    interface Attachment {
+        /** Returns the data to write with the next refresh. */
+        JsonElement toJson();
+
+        /** Merges the data of a record, of this entry's last incarnation too. */
+        void merge(JsonElement json);
+    }
+
     EntryMembership(
-            SharedStore store, DirectSettings settings, TimerService timer, Executor executor) {
+            SharedStore store,
+            DirectSettings settings,
+            TimerService timer,
+            Executor executor,
+            Attachment crashes) {
         this.store = store;
         this.settings = settings;
         this.timer = timer;
         this.executor = executor;
+        this.crashes = crashes;
     }
 
     void start() {
@@ -95,10 +112,14 @@
             // The collection watchers log that the store is unavailable; the next period retries.
             return;
         }
+        if (refreshes == 0) {
+            read.get().ifPresent(this::mergeCrashes);
+        }
         JsonObject body = new JsonObject();
         body.addProperty(ADDRESS, SettingParsers.text(settings.controlAddress()));
         body.addProperty(ZONE, settings.zone());
         body.addProperty(REFRESHES, ++refreshes);
+        body.add(CRASHES, crashes.toJson());
         read.get()
                 .map(entry -> store.replace(StoreCollection.ENTRIES, entry, body))
                 .orElseGet(() -> store.create(StoreCollection.ENTRIES, settings.instance(), body))
@@ -139,6 +160,7 @@
         for (StoreEntry entry : entries) {
             if (live.contains(entry.name()) && !entry.name().equals(settings.instance())) {
                 addressOf(entry).ifPresent(addresses::add);
+                mergeCrashes(entry);
             }
         }
         otherAddresses.set(List.copyOf(addresses));
@@ -148,15 +170,30 @@
         }
     }
 
+    private void mergeCrashes(StoreEntry entry) {
+        if (!entry.body().has(CRASHES)) {
+            return;
+        }
+        try {
+            crashes.merge(entry.body().get(CRASHES));
+        } catch (RuntimeException e) {
+            logUnreadable(entry, e);
+        }
+    }
+
+    private static void logUnreadable(StoreEntry entry, RuntimeException cause) {
+        EventLog.log(
+                EventCode.STORE_ENTRY_UNREADABLE,
+                Field.of("collection", StoreCollection.ENTRIES),
+                Field.of("entry", entry.name()),
+                Field.of("cause", cause));
+    }
+
     private static Optional<InetSocketAddress> addressOf(StoreEntry entry) {
         try {
             return Optional.of(SettingParsers.address(entry.body().get(ADDRESS).getAsString()));
         } catch (RuntimeException e) {
-            EventLog.log(
-                    EventCode.STORE_ENTRY_UNREADABLE,
-                    Field.of("collection", StoreCollection.ENTRIES),
-                    Field.of("entry", entry.name()),
-                    Field.of("cause", e));
+            logUnreadable(entry, e);
             return Optional.empty();
         }
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -35,6 +35,7 @@
 
     private final ModelService service;
     private final TokenCounts tokenCounts;
+    private final CrashGuard crashGuard;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
     private Optional<Waiter<ModelFlow>> waiter = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
@@ -46,6 +47,7 @@
     private int prefillAttempts;
     private boolean resuming;
     private boolean reservationUsed;
+    private boolean crashTrial;
     private long reservedAtMillis;
     private long prefillSentAtMillis;
     private long prefilledAtMillis;
@@ -56,10 +58,12 @@
             CallerRequest request,
             CallerStream caller,
             ModelService service,
-            TokenCounts tokenCounts) {
+            TokenCounts tokenCounts,
+            CrashGuard crashGuard) {
         super(context, request, caller);
         this.service = service;
         this.tokenCounts = tokenCounts;
+        this.crashGuard = crashGuard;
     }
 
     /**
@@ -76,6 +80,9 @@
 
     @Override
     void begin() {
+        if (failIfBlocked()) {
+            return;
+        }
         long nowMillis = context.timer().nowMillis();
         boolean late = service.isLate(request, nowMillis);
         long giveUpAtMillis = service.giveUpAtMillis(request, late || resuming, nowMillis);
@@ -141,7 +148,24 @@
         fail(message, false, service.retryAfterMillis(remainingMillis()));
     }
 
+    /** Fails the request if its prompt crashes servers, which may have become known meanwhile. */
+    private boolean failIfBlocked() {
+        if (crashTrial) {
+            return false;
+        }
+        CrashGuard.Admission admission = crashGuard.admit(request);
+        crashTrial = admission == CrashGuard.Admission.TRIAL;
+        if (admission != CrashGuard.Admission.BLOCKED) {
+            return false;
+        }
+        failBlocked("model servers crash when they begin to answer this prompt");
+        return true;
+    }
+
     private void startPrefill() {
+        if (failIfBlocked()) {
+            return;
+        }
         Optional<DirectServer> claimed = claimedPrefillServer;
         releasePrefillClaim();
         Optional<DirectServer> server =
@@ -201,6 +225,9 @@
             begin();
             return;
         }
+        if (failIfBlocked()) {
+            return;
+        }
         OptionalLong resumeAfter = resuming ? splitter.lastEventId() : OptionalLong.empty();
         AttemptOptions options =
                 new AttemptOptions(
@@ -226,6 +253,7 @@
         cachedPrompt.ifPresent(
                 prompt -> service.prefillSelector().recordUsedHandle(prompt.server()));
         cachedPrompt = Optional.empty();
+        crashGuard.recordStart(request);
         service.reservations().recordRunStart(current.server());
         context.recorder()
                 .recordStreamStart(
@@ -245,6 +273,10 @@
         relay = Optional.empty();
         recordAttemptEnd(current.server(), outcome);
         reservationUsed = outcome != CallOutcome.REFUSED && outcome != CallOutcome.UNREACHABLE;
+        if (outcome == CallOutcome.BROKEN && !current.hasEvents()) {
+            crashTrial = false;
+            crashGuard.recordBrokenStart(request, current.server());
+        }
         if (isFinished()) {
             return;
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -78,6 +78,23 @@
     ATTEMPT_FAILED(5006, Level.INFO, "An attempt at a backend server failed."),
     STREAM_STARTED(5007, Level.INFO, "A model server sent the first event of a stream."),
     STREAM_ENDED(5008, Level.INFO, "A stream of a model server was completed."),
+    SERVER_CRASHED(
+            5010,
+            Level.WARN,
+            "A model server crashed before it began to answer the prompts with these parts."),
+    CRASH_PATTERN_FOUND(
+            5011, Level.WARN, "Prompts with all these parts are kept away from model servers."),
+    CRASH_PATTERN_REFUTED(
+            5012,
+            Level.INFO,
+            "An answer to a prompt with one of these parts has begun; it is no longer suspected."),
+    CRASH_PATTERN_MATCHED(
+            5013,
+            Level.INFO,
+            "A request was refused, since prompts with these parts crash servers."),
+    CRASH_PATTERN_TRIAL(
+            5014, Level.WARN, "A request may run to find out whether its prompt still crashes."),
+    CRASH_NOTICE_NOT_DELIVERED(4206, Level.WARN, "A crash notice did not reach another entry."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
--- /dev/null
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
@@ -0,0 +1,46 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
+import dev.foxtailshed.kernel.direct.PromptParts;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Tests the format of crash notices between entries. */
+class CrashNoticeTest {
+
+    private static final Incarnation SERVER = new Incarnation("i-1", 1_000);
+
+    static Stream<CrashNotice> notices() {
+        return Stream.of(
+                new CrashNotice.Crashed(
+                        SERVER,
+                        List.of(new PromptParts(List.of("a", "b")), new PromptParts(List.of("c"))),
+                        7),
+                new CrashNotice.Crashed(SERVER, List.of(), 0),
+                new CrashNotice.Began(new PromptParts(List.of("a", "b")), 3));
+    }
+
+    @ParameterizedTest
+    @MethodSource("notices")
+    void decodesWhatWasEncoded(CrashNotice notice) {
+        assertThat(CrashNotice.decode(notice.encode())).isEqualTo(notice);
+    }
+
+    @ParameterizedTest
+    @MethodSource("notices")
+    void refusesTruncatedNotices(CrashNotice notice) {
+        byte[] bytes = notice.encode();
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] truncated = Arrays.copyOf(bytes, length);
+            assertThatThrownBy(() -> CrashNotice.decode(truncated))
+                    .isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageStartingWith("expected a crash notice");
+        }
+    }
+}
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/FailureAction.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/FailureAction.java
@@ -60,4 +60,17 @@
                 timedOut ? ErrorCode.TIMEOUT : ErrorCode.CONNECTION_LOST,
                 message);
     }
+
+    /**
+     * Creates the failure for a request that must not reach a server, since it would crash it.
+     *
+     * @param verdict the verdict over all calls of the request
+     * @param message the error message for the caller
+     * @return the failure, without a delay after which a retry could succeed
+     */
+    public static RequestFailure createBlockedFailure(Verdict verdict, String message) {
+        return verdict == Verdict.NOT_RUN
+                ? RequestFailure.notRun(ErrorCode.SUSPECT_REFUSED, message)
+                : RequestFailure.of(Verdict.MAY_HAVE_RUN, ErrorCode.BACKEND_CRASHED, message);
+    }
 }
--- /dev/null
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/TrialOrder.java
@@ -0,0 +1,36 @@
+package dev.foxtailshed.kernel.suspects;
+
+import java.util.Collection;
+import java.util.Set;
+
+/**
+ * Orders the entries for the trial of a pattern, so that not each of hundreds of entries crashes a
+ * server with it.
+ *
+ * <p>Uses rendezvous hashing: entries that know the same members agree without messages. Stateless.
+ */
+public final class TrialOrder {
+
+    private TrialOrder() {}
+
+    /**
+     * Returns the rank of an entry for a pattern.
+     *
+     * @param parts the parts of the pattern
+     * @param self the address of the entry
+     * @param others the addresses of the other live entries
+     * @return the number of entries that come before it
+     */
+    public static int rank(Set<String> parts, String self, Collection<String> others) {
+        long own = weight(parts, self);
+        return (int) others.stream().filter(other -> weight(parts, other) > own).count();
+    }
+
+    private static long weight(Set<String> parts, String entry) {
+        // The finalizer of SplitMix64; the hash of a set does not depend on its order.
+        long hash = ((long) parts.hashCode() << Integer.SIZE) ^ entry.hashCode();
+        hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
+        hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
+        return hash ^ (hash >>> 31);
+    }
+}
