Count crashes of model servers more than 200 ms apart as separate

Servers that are lost together end within milliseconds.

Change: the time within which crashes count once is 200 ms.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
@@ -35,7 +35,7 @@
      * Crashes within this time count once, since servers that are lost together, as with their
      * availability zone, have a common cause outside of the prompts.
      */
-    private static final long COMMON_CAUSE_MILLIS = 400;
+    private static final long COMMON_CAUSE_MILLIS = 200;
 
     private CrashPatternFinder() {}
 
