--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
@@ -7,13 +7,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Finds out whether a model server has crashed when it breaks off requests that it had not begun to
  * answer.
  *
- * <p>A server that refuses connections right afterwards has crashed. One that responds has only
- * broken off single requests, and one that is silent may be cut off. Runs on the entry's loop.
+ * <p>A server that refuses connections right afterwards, or has been replaced at its address, has
+ * crashed. One that responds has only broken off single requests, and one that is silent may be cut
+ * off. Runs on the entry's loop.
  */
 final class CrashDetector {
 
@@ -60,14 +62,23 @@
 
     private void onReply(
             DirectServer server, long brokenMillis, int call, EngineControlClient.Reply reply) {
-        boolean decided = reply.unsent() || reply.hasResponse();
+        boolean crashed = reply.unsent() || isFromAnotherServer(reply);
+        boolean decided = crashed || reply.hasResponse();
         if (!decided && call + 1 < CALL_DELAYS_MILLIS.length) {
             scheduleCall(server, brokenMillis, call + 1);
             return;
         }
         List<PromptParts> prompts = promptsByServer.remove(server.incarnation());
-        if (reply.unsent()) {
+        if (crashed) {
             listener.onCrash(server, brokenMillis, prompts);
         }
     }
+
+    private boolean isFromAnotherServer(EngineControlClient.Reply reply) {
+        return reply.hasResponse()
+                && context.platform()
+                        .serverProtocol()
+                        .parseHead(reply.status(), HttpFields.EMPTY)
+                        .wrongServer();
+    }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -1,22 +1,22 @@
 package dev.foxtailshed.daemon.internal.direct;
 
-import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.kernel.direct.DirectServer;
-import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.PromptParts;
 import dev.foxtailshed.kernel.suspects.CrashPattern;
 import dev.foxtailshed.kernel.suspects.CrashingParts;
 import dev.foxtailshed.kernel.suspects.ServerCrash;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
@@ -24,24 +24,32 @@
 /**
  * Keeps requests whose prompts crash model servers away from them, together with the other entries.
  *
- * <p>Crashes and their refutations are sent to the other entries at once. The crashes of the
- * patterns in force are also in this entry's membership record, for entries that start later or
- * missed a notice. Runs on the entry's loop.
+ * <p>Crashes and their refutations are sent to the other entries at once. The evidence of the
+ * patterns in force is handed to entries that ask for it, and is in this entry's membership record,
+ * for when all entries restart. Runs on the entry's loop.
  */
 final class CrashGuard implements CrashDetector.Listener, EntryMembership.Attachment {
 
-    /** Crashes of a pattern that the membership record has; enough for others to find it. */
-    private static final int CRASHES_IN_RECORD = 4;
+    /**
+     * Longest time until other entries are told that parts are no longer suspected; enough that one
+     * of them does so first.
+     */
+    private static final long MAXIMUM_ANNOUNCE_DELAY_MILLIS = 200;
+
+    /** Crashes that suffice for another entry to find a pattern. */
+    private static final int CRASHES_PER_PATTERN = 4;
 
-    private static final int PATTERNS_IN_RECORD = 8;
+    private static final int PROMPTS_PER_CRASH = 2;
+    private static final int MAXIMUM_PATTERNS = 8;
 
-    /** Longest time until other entries are told that parts are no longer suspected. */
-    private static final long MAXIMUM_DELAY_MILLIS = 200;
+    /** Age at which a membership record is too old, as a pattern may have ended since. */
+    private static final long MAXIMUM_RECORD_AGE_MILLIS = 30_000;
 
-    private static final String SERVER = "server";
-    private static final String STARTED = "started";
-    private static final String CRASHED_EPOCH_MILLIS = "crashedEpochMillis";
-    private static final String PARTS = "parts";
+    private static final long EXPIRY_PERIOD_MILLIS = 10_000;
+    private static final String WRITTEN_EPOCH_MILLIS = "writtenEpochMillis";
+    private static final String NOTICES = "notices";
+    private static final String PARTS_FIELD = "parts";
+    private static final String CRASHES_FIELD = "crashes";
 
     private final DirectContext context;
     private final Clock clock;
@@ -50,15 +58,17 @@
     private final CrashDetector detector;
     private final CrashingParts parts = new CrashingParts();
 
-    /** Parts that are no longer suspected, of which the other entries have not been told yet. */
-    private final Set<String> unannounced = new LinkedHashSet<>();
+    /** Cleared parts that the other entries have not been told of. */
+    private final List<Set<String>> unannounced = new ArrayList<>();
+
+    private volatile Evidence evidence = new Evidence(List.of(), 0);
 
     /**
      * Creates the guard.
      *
      * @param context the shared dependencies
      * @param controlClient calls servers that may have crashed
-     * @param clock the time of day, for the times in the membership record
+     * @param clock the time of day, for the age of membership records
      * @param notices sends notices to the other entries
      * @param trialRank the rank of this entry for the trial of a pattern with these parts
      */
@@ -75,6 +85,9 @@
         this.detector = new CrashDetector(context, controlClient, this);
     }
 
+    /** Notices that let another entry find the patterns in force, with the time of their ages. */
+    private record Evidence(List<CrashNotice> notices, long collectedMillis) {}
+
     /** Whether a request may be sent to a model server. */
     enum Admission {
         /** The request matches no pattern. */
@@ -85,21 +98,42 @@
         BLOCKED
     }
 
-    /** Decides whether a request may be sent to a model server. */
-    Admission admit(CallerRequest request) {
-        Optional<CrashPattern> match =
-                parts.findMatch(request.attributes().promptParts(), nowMillis());
-        if (match.isEmpty()) {
+    void start() {
+        context.timer()
+                .every(
+                        EXPIRY_PERIOD_MILLIS,
+                        () -> context.runOnLoop(() -> parts.expire(nowMillis())));
+    }
+
+    /**
+     * Decides whether a request may be sent to a model server.
+     *
+     * @param request the request
+     * @param trialMillis when the request was granted a trial, which holds until the next crash
+     */
+    Admission admit(CallerRequest request, OptionalLong trialMillis) {
+        List<CrashPattern> matches = parts.findMatches(request.attributes().promptParts());
+        if (matches.isEmpty()) {
             return Admission.ADMITTED;
         }
+        CrashPattern pattern = matches.get(0);
         boolean trial =
-                parts.tryTrial(match.get(), trialRank.applyAsInt(match.get().parts()), nowMillis());
+                trialMillis.isPresent()
+                        ? pattern.lastCrashMillis() < trialMillis.getAsLong()
+                        : matches.size() == 1
+                                && parts.tryTrial(
+                                        pattern,
+                                        trialRank.applyAsInt(pattern.parts()),
+                                        nowMillis());
+        if (trial && trialMillis.isPresent()) {
+            return Admission.TRIAL;
+        }
         EventLog.log(
                 trial ? EventCode.CRASH_PATTERN_TRIAL : EventCode.CRASH_PATTERN_MATCHED,
                 Field.of("request", request.id()),
-                Field.of("parts", match.get().parts()),
-                Field.of("crashes", match.get().crashes().size()),
-                Field.of("lastCrashAgeMillis", nowMillis() - match.get().lastCrashMillis()));
+                Field.of(PARTS_FIELD, pattern.parts()),
+                Field.of(CRASHES_FIELD, pattern.crashes().size()),
+                Field.of("lastCrashAgeMillis", nowMillis() - pattern.lastCrashMillis()));
         return trial ? Admission.TRIAL : Admission.BLOCKED;
     }
 
@@ -111,24 +145,23 @@
      * each entry.
      */
     void recordStart(CallerRequest request) {
-        Set<String> cleared = applyStart(request.attributes().promptParts(), nowMillis());
+        long beganMillis = nowMillis();
+        Set<String> cleared =
+                new HashSet<>(applyStart(request.attributes().promptParts(), beganMillis));
         if (cleared.isEmpty()) {
             return;
         }
-        boolean scheduled = !unannounced.isEmpty();
-        unannounced.addAll(cleared);
-        if (!scheduled) {
-            long beganMillis = nowMillis();
-            long delayMillis = (long) (MAXIMUM_DELAY_MILLIS * context.random().getAsDouble());
-            context.schedule(delayMillis, () -> announceStarts(beganMillis));
-        }
+        unannounced.add(cleared);
+        long delayMillis = (long) (MAXIMUM_ANNOUNCE_DELAY_MILLIS * context.random().getAsDouble());
+        context.schedule(delayMillis, () -> announce(cleared, beganMillis));
     }
 
-    private void announceStarts(long beganMillis) {
-        if (!unannounced.isEmpty()) {
-            PromptParts cleared = new PromptParts(List.copyOf(unannounced));
-            unannounced.clear();
-            notices.accept(new CrashNotice.Began(cleared, nowMillis() - beganMillis));
+    private void announce(Set<String> cleared, long beganMillis) {
+        unannounced.removeIf(other -> other == cleared);
+        if (!cleared.isEmpty()) {
+            notices.accept(
+                    new CrashNotice.Began(
+                            new PromptParts(List.copyOf(cleared)), nowMillis() - beganMillis));
         }
     }
 
@@ -145,7 +178,7 @@
         long ageMillis = nowMillis() - crashedMillis;
         EventLog.log(
                 EventCode.SERVER_CRASHED,
-                Field.of(SERVER, server.id()),
+                Field.of("server", server.id()),
                 Field.of("prompts", prompts.stream().map(PromptParts::ids).toList()),
                 Field.of("ageMillis", ageMillis));
         applyCrash(new ServerCrash(server.incarnation(), crashedMillis, prompts));
@@ -158,19 +191,32 @@
         if (notice instanceof CrashNotice.Crashed crashed) {
             applyCrash(new ServerCrash(crashed.server(), observedMillis, crashed.prompts()));
         } else if (notice instanceof CrashNotice.Began began) {
-            unannounced.removeAll(began.parts().ids());
+            unannounced.forEach(cleared -> cleared.removeAll(began.parts().ids()));
             applyStart(began.parts(), observedMillis);
         }
     }
 
+    /** Returns the evidence of the patterns in force. May be called from any thread. */
+    List<CrashNotice> evidence() {
+        Evidence current = evidence;
+        long ageMillis = Math.max(0, nowMillis() - current.collectedMillis());
+        return current.notices().stream().map(notice -> notice.olderBy(ageMillis)).toList();
+    }
+
+    /** Returns the number of patterns in force. May be called from any thread. */
+    int patternCount() {
+        return parts.patterns().size();
+    }
+
     private void applyCrash(ServerCrash crash) {
         for (CrashPattern pattern : parts.recordCrash(crash, nowMillis())) {
             EventLog.log(
                     EventCode.CRASH_PATTERN_FOUND,
-                    Field.of(PARTS, pattern.parts()),
-                    Field.of("crashes", pattern.crashes().size()),
+                    Field.of(PARTS_FIELD, pattern.parts()),
+                    Field.of(CRASHES_FIELD, pattern.crashes().size()),
                     Field.of("lastServer", crash.server().id()));
         }
+        updateEvidence();
     }
 
     private Set<String> applyStart(PromptParts prompt, long beganMillis) {
@@ -180,68 +226,76 @@
             if (pattern.parts().stream().anyMatch(cleared::contains)) {
                 EventLog.log(
                         EventCode.CRASH_PATTERN_REFUTED,
-                        Field.of(PARTS, pattern.parts()),
+                        Field.of(PARTS_FIELD, pattern.parts()),
                         Field.of("began", cleared),
-                        Field.of("crashes", pattern.crashes().size()));
+                        Field.of(CRASHES_FIELD, pattern.crashes().size()));
             }
         }
+        if (!cleared.isEmpty()) {
+            updateEvidence();
+        }
         return cleared;
     }
 
+    /**
+     * Collects the latest crashes of the patterns, and before them the parts that are cleared, so
+     * that another entry blames the same parts.
+     */
+    private void updateEvidence() {
+        long nowMillis = nowMillis();
+        Set<String> seenParts = new LinkedHashSet<>();
+        List<CrashNotice> crashes = new ArrayList<>();
+        for (CrashPattern pattern : parts.patterns().stream().limit(MAXIMUM_PATTERNS).toList()) {
+            int count = pattern.crashes().size();
+            for (ServerCrash crash :
+                    pattern.crashes().subList(Math.max(0, count - CRASHES_PER_PATTERN), count)) {
+                List<PromptParts> prompts =
+                        crash.prompts().stream()
+                                .filter(
+                                        prompt ->
+                                                pattern.parts().stream()
+                                                        .anyMatch(prompt.ids()::contains))
+                                .limit(PROMPTS_PER_CRASH)
+                                .toList();
+                prompts.forEach(prompt -> seenParts.addAll(prompt.ids()));
+                crashes.add(
+                        new CrashNotice.Crashed(
+                                crash.server(), prompts, nowMillis - crash.crashedMillis()));
+            }
+        }
+        List<CrashNotice> all = new ArrayList<>();
+        for (String part : seenParts) {
+            parts.startedMillis(part)
+                    .ifPresent(
+                            began ->
+                                    all.add(
+                                            new CrashNotice.Began(
+                                                    new PromptParts(List.of(part)),
+                                                    nowMillis - began)));
+        }
+        all.addAll(crashes);
+        evidence = new Evidence(List.copyOf(all), nowMillis);
+    }
+
     @Override
     public JsonElement toJson() {
-        JsonArray json = new JsonArray();
-        parts.patterns().stream()
-                .limit(PATTERNS_IN_RECORD)
-                .forEach(pattern -> addCrashes(pattern, json));
+        JsonObject json = new JsonObject();
+        json.addProperty(WRITTEN_EPOCH_MILLIS, clock.millis());
+        json.addProperty(
+                NOTICES, Base64.getEncoder().encodeToString(CrashNotice.encode(evidence())));
         return json;
     }
 
-    private void addCrashes(CrashPattern pattern, JsonArray json) {
-        List<ServerCrash> crashes = pattern.crashes();
-        for (ServerCrash crash :
-                crashes.subList(Math.max(0, crashes.size() - CRASHES_IN_RECORD), crashes.size())) {
-            JsonObject entry = new JsonObject();
-            entry.addProperty(SERVER, crash.server().id());
-            entry.addProperty(STARTED, crash.server().startedEpochMillis());
-            entry.addProperty(
-                    CRASHED_EPOCH_MILLIS, clock.millis() - (nowMillis() - crash.crashedMillis()));
-            JsonArray ids = new JsonArray();
-            crash.prompts().stream()
-                    .filter(prompt -> prompt.containsAll(pattern.parts()))
-                    .findFirst()
-                    .ifPresent(prompt -> prompt.ids().forEach(ids::add));
-            entry.add(PARTS, ids);
-            json.add(entry);
-        }
-    }
-
     @Override
     public void merge(JsonElement json) {
-        for (JsonElement element : json.getAsJsonArray()) {
-            JsonObject entry = element.getAsJsonObject();
-            long ageMillis =
-                    Math.max(0, clock.millis() - entry.get(CRASHED_EPOCH_MILLIS).getAsLong());
-            if (ageMillis > CrashingParts.RETENTION_MILLIS) {
-                continue;
-            }
-            List<String> ids = new ArrayList<>();
-            entry.get(PARTS).getAsJsonArray().forEach(id -> ids.add(id.getAsString()));
-            applyCrash(
-                    new ServerCrash(
-                            new Incarnation(
-                                    entry.get(SERVER).getAsString(),
-                                    entry.get(STARTED).getAsLong()),
-                            nowMillis() - ageMillis,
-                            List.of(new PromptParts(ids))));
+        JsonObject record = json.getAsJsonObject();
+        long ageMillis = Math.max(0, clock.millis() - record.get(WRITTEN_EPOCH_MILLIS).getAsLong());
+        if (ageMillis <= MAXIMUM_RECORD_AGE_MILLIS) {
+            byte[] encoded = Base64.getDecoder().decode(record.get(NOTICES).getAsString());
+            CrashNotice.decode(encoded).forEach(notice -> onNotice(notice.olderBy(ageMillis)));
         }
     }
 
-    /** Returns the number of patterns in force. May be called from any thread. */
-    int patternCount() {
-        return parts.patterns().size();
-    }
-
     private long nowMillis() {
         return context.timer().nowMillis();
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
@@ -17,9 +17,16 @@
  */
 sealed interface CrashNotice {
 
-    /** How long ago the event was observed, in milliseconds. */
+    /** Returns how long ago the event was observed, in milliseconds. */
     long ageMillis();
 
+    /**
+     * Returns the same notice with a greater age.
+     *
+     * @param millis the time to add
+     */
+    CrashNotice olderBy(long millis);
+
     /**
      * A server has crashed.
      *
@@ -28,7 +35,12 @@
      * @param ageMillis how long ago it crashed
      */
     record Crashed(Incarnation server, List<PromptParts> prompts, long ageMillis)
-            implements CrashNotice {}
+            implements CrashNotice {
+        @Override
+        public CrashNotice olderBy(long millis) {
+            return new Crashed(server, prompts, ageMillis + millis);
+        }
+    }
 
     /**
      * A server has begun an answer, so the parts of its prompt did not cause an earlier crash.
@@ -36,22 +48,19 @@
      * @param parts the parts that are no longer suspected
      * @param ageMillis how long ago it began
      */
-    record Began(PromptParts parts, long ageMillis) implements CrashNotice {}
+    record Began(PromptParts parts, long ageMillis) implements CrashNotice {
+        @Override
+        public CrashNotice olderBy(long millis) {
+            return new Began(parts, ageMillis + millis);
+        }
+    }
 
-    /** Returns the notice in MessagePack format. */
-    default byte[] encode() {
+    /** Encodes notices in MessagePack format. */
+    static byte[] encode(List<CrashNotice> notices) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packLong(ageMillis());
-            if (this instanceof Crashed crashed) {
-                packer.packString(crashed.server().id());
-                packer.packLong(crashed.server().startedEpochMillis());
-                packer.packArrayHeader(crashed.prompts().size());
-                for (PromptParts prompt : crashed.prompts()) {
-                    packPrompt(packer, prompt);
-                }
-            } else if (this instanceof Began began) {
-                packer.packNil();
-                packPrompt(packer, began.parts());
+            packer.packArrayHeader(notices.size());
+            for (CrashNotice notice : notices) {
+                pack(packer, notice);
             }
             return packer.toByteArray();
         } catch (IOException e) {
@@ -60,38 +69,62 @@
     }
 
     /**
-     * Decodes a notice.
+     * Decodes notices.
      *
-     * @param bytes the notice in MessagePack format
-     * @throws IllegalArgumentException if the bytes are not a notice
+     * @param bytes the notices in MessagePack format
+     * @throws IllegalArgumentException if the bytes are not crash notices
      */
-    static CrashNotice decode(byte[] bytes) {
+    static List<CrashNotice> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            long ageMillis = Math.max(0, unpacker.unpackLong());
-            if (unpacker.tryUnpackNil()) {
-                return new Began(unpackPrompt(unpacker), ageMillis);
-            }
-            Incarnation server = new Incarnation(unpacker.unpackString(), unpacker.unpackLong());
-            List<PromptParts> prompts = new ArrayList<>();
+            List<CrashNotice> notices = new ArrayList<>();
             int count = unpacker.unpackArrayHeader();
             for (int i = 0; i < count; i++) {
-                prompts.add(unpackPrompt(unpacker));
+                notices.add(unpack(unpacker));
             }
-            return new Crashed(server, prompts, ageMillis);
+            return notices;
         } catch (IOException | MessagePackException e) {
-            throw new IllegalArgumentException("expected a crash notice, found: " + e, e);
+            throw new IllegalArgumentException("expected crash notices, found: " + e, e);
+        }
+    }
+
+    private static void pack(MessageBufferPacker packer, CrashNotice notice) throws IOException {
+        packer.packLong(notice.ageMillis());
+        if (notice instanceof Crashed crashed) {
+            packer.packString(crashed.server().id());
+            packer.packLong(crashed.server().startedEpochMillis());
+            packer.packArrayHeader(crashed.prompts().size());
+            for (PromptParts prompt : crashed.prompts()) {
+                packParts(packer, prompt);
+            }
+        } else if (notice instanceof Began began) {
+            packer.packNil();
+            packParts(packer, began.parts());
+        }
+    }
+
+    private static CrashNotice unpack(MessageUnpacker unpacker) throws IOException {
+        long ageMillis = Math.max(0, unpacker.unpackLong());
+        if (unpacker.tryUnpackNil()) {
+            return new Began(unpackParts(unpacker), ageMillis);
+        }
+        Incarnation server = new Incarnation(unpacker.unpackString(), unpacker.unpackLong());
+        List<PromptParts> prompts = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            prompts.add(unpackParts(unpacker));
         }
+        return new Crashed(server, prompts, ageMillis);
     }
 
-    private static void packPrompt(MessageBufferPacker packer, PromptParts prompt)
+    private static void packParts(MessageBufferPacker packer, PromptParts parts)
             throws IOException {
-        packer.packArrayHeader(prompt.ids().size());
-        for (String id : prompt.ids()) {
+        packer.packArrayHeader(parts.ids().size());
+        for (String id : parts.ids()) {
             packer.packString(id);
         }
     }
 
-    private static PromptParts unpackPrompt(MessageUnpacker unpacker) throws IOException {
+    private static PromptParts unpackParts(MessageUnpacker unpacker) throws IOException {
         List<String> ids = new ArrayList<>();
         int count = unpacker.unpackArrayHeader();
         for (int i = 0; i < count; i++) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -78,6 +78,14 @@
      */
     private static final int ASSUMED_ENTRIES = 20;
 
+    /** Entries that are asked for the crashes that this entry has missed. */
+    private static final int PEERS_TO_ASK = 3;
+
+    /**
+     * When other entries are asked after the start: those of the settings, then those of the store.
+     */
+    private static final long[] FETCH_DELAYS_MILLIS = {0, 800, 2_000};
+
     /** Name of the lease for stage changes in the store. */
     private static final String STAGE_CHANGE_LEASE = "stage-orders";
 
@@ -93,6 +101,7 @@
     private final DeploymentView view;
     private final SerialExecutor loop;
     private final CrashGuard crashGuard;
+    private final CrashNotices crashNotices;
     private final EntryMembership membership;
     private final DirectFlowFactory flows;
     private final StageCoordinator coordinator;
@@ -120,14 +129,13 @@
                         new DirectRequestRecorder(registry, timer, view::servers),
                         random);
         EngineControlClient controlClient = new EngineControlClient(context);
-        CrashNotices crashNotices =
-                new CrashNotices(httpClient, timer, this::peerAddresses, this::recordCrashNotice);
+        crashNotices = newCrashNotices();
         crashGuard =
                 new CrashGuard(
                         context,
                         controlClient,
                         Clock.systemUTC(),
-                        crashNotices::send,
+                        this::sendCrashNotice,
                         this::trialRank);
         membership = new EntryMembership(store, initialSettings, timer, loop, crashGuard);
         flows =
@@ -186,6 +194,8 @@
             flows.start();
             view.start();
             membership.start();
+            crashGuard.start();
+            fetchCrashesAfterStart();
             coordinator.start();
             settings.start(timer);
             SignalHandlers.onHangup(() -> settings.reload("SIGHUP"));
@@ -231,8 +241,28 @@
         coordinator.recordNotice(notice);
     }
 
-    private void recordCrashNotice(CrashNotice notice) {
-        loop.executeOrEnqueue(() -> crashGuard.onNotice(notice));
+    private CrashNotices newCrashNotices() {
+        return new CrashNotices(
+                httpClient,
+                timer,
+                this::peerAddresses,
+                notice -> loop.executeOrEnqueue(() -> crashGuard.onNotice(notice)),
+                () -> crashGuard.evidence());
+    }
+
+    private void sendCrashNotice(CrashNotice notice) {
+        crashNotices.send(notice);
+        if (notice instanceof CrashNotice.Crashed) {
+            // An entry that missed earlier notices learns of them with its own first crash.
+            crashNotices.fetch(PEERS_TO_ASK);
+        }
+    }
+
+    /** Asks other entries, once it is known which there are. */
+    private void fetchCrashesAfterStart() {
+        for (long delayMillis : FETCH_DELAYS_MILLIS) {
+            timer.once(delayMillis, () -> crashNotices.fetch(PEERS_TO_ASK));
+        }
     }
 
     private int trialRank(Set<String> parts) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
@@ -43,13 +43,13 @@
     private static final String ADDRESS = "address";
     private static final String ZONE = "zone";
     private static final String REFRESHES = "refreshes";
-    private static final String CRASHES = "crashes";
+    private static final String ATTACHMENT = "crashes";
 
     private final SharedStore store;
     private final DirectSettings settings;
     private final TimerService timer;
     private final Executor executor;
-    private final Attachment crashes;
+    private final Attachment attachment;
     private final RevisionLivenessTracker liveness = new RevisionLivenessTracker(4 * PERIOD_MILLIS);
     private final AtomicReference<List<InetSocketAddress>> otherAddresses =
             new AtomicReference<>(List.of());
@@ -71,12 +71,12 @@
             DirectSettings settings,
             TimerService timer,
             Executor executor,
-            Attachment crashes) {
+            Attachment attachment) {
         this.store = store;
         this.settings = settings;
         this.timer = timer;
         this.executor = executor;
-        this.crashes = crashes;
+        this.attachment = attachment;
     }
 
     void start() {
@@ -113,13 +113,13 @@
             return;
         }
         if (refreshes == 0) {
-            read.get().ifPresent(this::mergeCrashes);
+            read.get().ifPresent(this::mergeAttachment);
         }
         JsonObject body = new JsonObject();
         body.addProperty(ADDRESS, SettingParsers.text(settings.controlAddress()));
         body.addProperty(ZONE, settings.zone());
         body.addProperty(REFRESHES, ++refreshes);
-        body.add(CRASHES, crashes.toJson());
+        body.add(ATTACHMENT, attachment.toJson());
         read.get()
                 .map(entry -> store.replace(StoreCollection.ENTRIES, entry, body))
                 .orElseGet(() -> store.create(StoreCollection.ENTRIES, settings.instance(), body))
@@ -160,7 +160,7 @@
         for (StoreEntry entry : entries) {
             if (live.contains(entry.name()) && !entry.name().equals(settings.instance())) {
                 addressOf(entry).ifPresent(addresses::add);
-                mergeCrashes(entry);
+                mergeAttachment(entry);
             }
         }
         otherAddresses.set(List.copyOf(addresses));
@@ -170,12 +170,12 @@
         }
     }
 
-    private void mergeCrashes(StoreEntry entry) {
-        if (!entry.body().has(CRASHES)) {
+    private void mergeAttachment(StoreEntry entry) {
+        if (!entry.body().has(ATTACHMENT)) {
             return;
         }
         try {
-            crashes.merge(entry.body().get(CRASHES));
+            attachment.merge(entry.body().get(ATTACHMENT));
         } catch (RuntimeException e) {
             logUnreadable(entry, e);
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -18,6 +18,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * A request to a language model: reserves decode capacity, prefills the prompt, then streams.
@@ -47,7 +48,7 @@
     private int prefillAttempts;
     private boolean resuming;
     private boolean reservationUsed;
-    private boolean crashTrial;
+    private OptionalLong crashTrialMillis = OptionalLong.empty();
     private long reservedAtMillis;
     private long prefillSentAtMillis;
     private long prefilledAtMillis;
@@ -150,11 +151,10 @@
 
     /** Fails the request if its prompt crashes servers, which may have become known meanwhile. */
     private boolean failIfBlocked() {
-        if (crashTrial) {
-            return false;
+        CrashGuard.Admission admission = crashGuard.admit(request, crashTrialMillis);
+        if (admission == CrashGuard.Admission.TRIAL && crashTrialMillis.isEmpty()) {
+            crashTrialMillis = OptionalLong.of(context.timer().nowMillis());
         }
-        CrashGuard.Admission admission = crashGuard.admit(request);
-        crashTrial = admission == CrashGuard.Admission.TRIAL;
         if (admission != CrashGuard.Admission.BLOCKED) {
             return false;
         }
@@ -253,7 +253,9 @@
         cachedPrompt.ifPresent(
                 prompt -> service.prefillSelector().recordUsedHandle(prompt.server()));
         cachedPrompt = Optional.empty();
-        crashGuard.recordStart(request);
+        if (HttpStatus.isSuccess(current.status())) {
+            crashGuard.recordStart(request);
+        }
         service.reservations().recordRunStart(current.server());
         context.recorder()
                 .recordStreamStart(
@@ -273,8 +275,7 @@
         relay = Optional.empty();
         recordAttemptEnd(current.server(), outcome);
         reservationUsed = outcome != CallOutcome.REFUSED && outcome != CallOutcome.UNREACHABLE;
-        if (outcome == CallOutcome.BROKEN && !current.hasEvents()) {
-            crashTrial = false;
+        if (outcome == CallOutcome.BROKEN && !splitter.hasEvents()) {
             crashGuard.recordBrokenStart(request, current.server());
         }
         if (isFinished()) {
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
@@ -29,18 +29,21 @@
     @ParameterizedTest
     @MethodSource("notices")
     void decodesWhatWasEncoded(CrashNotice notice) {
-        assertThat(CrashNotice.decode(notice.encode())).isEqualTo(notice);
+        List<CrashNotice> both = List.of(notice, notice.olderBy(5));
+
+        assertThat(CrashNotice.decode(CrashNotice.encode(both))).isEqualTo(both);
+        assertThat(both.get(1).ageMillis()).isEqualTo(notice.ageMillis() + 5);
     }
 
     @ParameterizedTest
     @MethodSource("notices")
     void refusesTruncatedNotices(CrashNotice notice) {
-        byte[] bytes = notice.encode();
+        byte[] bytes = CrashNotice.encode(List.of(notice));
         for (int length = 0; length < bytes.length; length++) {
             byte[] truncated = Arrays.copyOf(bytes, length);
             assertThatThrownBy(() -> CrashNotice.decode(truncated))
                     .isInstanceOf(IllegalArgumentException.class)
-                    .hasMessageStartingWith("expected a crash notice");
+                    .hasMessageStartingWith("expected crash notices");
         }
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/PromptParts.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/PromptParts.java
@@ -21,15 +21,6 @@
         ids = List.copyOf(ids);
     }
 
-    /**
-     * Returns the ids that other requests may share.
-     *
-     * @return all ids but the last
-     */
-    public List<String> shared() {
-        return ids.isEmpty() ? ids : ids.subList(0, ids.size() - 1);
-    }
-
     /**
      * Returns whether the prompt has all the given parts.
      *
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
@@ -2,8 +2,8 @@
 
 import dev.foxtailshed.kernel.direct.PromptParts;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -15,21 +15,22 @@
 /**
  * Finds the parts of prompts that explain repeated crashes of model servers. Stateless.
  *
- * <p>Load pattern: a crash breaks all streams of a server, and several requests may be about to
- * begin there, most of them harmless. The part that is common to the most crashes explains them;
- * what is left of the other crashes is examined without them, so that harmless requests which were
- * retried from one crashing server at the next are not blamed, and a second harmful part is found.
+ * <p>A crash breaks all streams of a server, and several requests may be about to begin there, most
+ * of them harmless. The part that is common to the most crashes explains them; the other crashes
+ * are then examined without them, so that harmless requests which were retried from one crashing
+ * server at the next are not blamed, and a second harmful part is found.
  */
 final class CrashPatternFinder {
 
-    /** Separate crashes after which a part that requests share explains them. */
-    private static final int CRASHES_FOR_SHARED_PART = 2;
+    /** Separate crashes after which a part between the first and the last explains them. */
+    private static final int CRASHES_FOR_INNER_PART = 2;
 
     /**
-     * Separate crashes after which the last part explains them. It is in few prompts, so that a
-     * coincidence is not refuted by another request.
+     * Separate crashes after which the first or the last part explains them. All requests of a
+     * route may have the same first part, and a last part is in few prompts, so that a coincidence
+     * is not refuted by another request.
      */
-    private static final int CRASHES_FOR_LAST_PART = 3;
+    private static final int CRASHES_FOR_OUTER_PART = 3;
 
     /**
      * Crashes within this time count once, since servers that are lost together, as with their
@@ -39,31 +40,38 @@
 
     private CrashPatternFinder() {}
 
-    /** The crashes in which a part was seen, oldest first. */
+    /** The crashes in which a part is suspected, as indices into the list of crashes. */
     private static final class Evidence {
-        private final Set<ServerCrash> crashes = new LinkedHashSet<>();
-        private boolean shared;
+        private final BitSet crashes = new BitSet();
+        private boolean inner;
         private boolean known;
+        private int separateCrashes;
 
         boolean isSufficient() {
-            return separateCrashes() >= (shared ? CRASHES_FOR_SHARED_PART : CRASHES_FOR_LAST_PART);
+            return separateCrashes >= (inner ? CRASHES_FOR_INNER_PART : CRASHES_FOR_OUTER_PART);
         }
 
-        int separateCrashes() {
-            int count = 0;
+        boolean includes(Evidence other) {
+            BitSet missing = (BitSet) other.crashes.clone();
+            missing.andNot(crashes);
+            return missing.isEmpty();
+        }
+
+        void countSeparate(List<ServerCrash> all) {
+            separateCrashes = 0;
             long countedMillis = 0;
-            for (ServerCrash crash : crashes) {
-                if (count == 0 || crash.crashedMillis() - countedMillis > COMMON_CAUSE_MILLIS) {
-                    count++;
-                    countedMillis = crash.crashedMillis();
+            for (int i = crashes.nextSetBit(0); i >= 0; i = crashes.nextSetBit(i + 1)) {
+                long crashedMillis = all.get(i).crashedMillis();
+                if (separateCrashes == 0 || crashedMillis - countedMillis > COMMON_CAUSE_MILLIS) {
+                    separateCrashes++;
+                    countedMillis = crashedMillis;
                 }
             }
-            return count;
         }
 
         private static Comparator<Evidence> byWeight() {
-            return Comparator.comparingInt(Evidence::separateCrashes)
-                    .thenComparing(evidence -> evidence.shared)
+            return Comparator.<Evidence, Boolean>comparing(evidence -> evidence.inner)
+                    .thenComparing(evidence -> evidence.separateCrashes)
                     .thenComparing(evidence -> evidence.known);
         }
     }
@@ -74,17 +82,17 @@
      * @param crashes the crashes, oldest first
      * @param suspected whether a part may have caused a crash
      * @param known the parts of the patterns in force; preferred if others explain as much
-     * @return the patterns, those with the most crashes first
+     * @return the patterns
      */
     static List<CrashPattern> find(
             List<ServerCrash> crashes,
             BiPredicate<String, ServerCrash> suspected,
             Set<String> known) {
-        List<ServerCrash> unexplained = new ArrayList<>(crashes);
+        BitSet unexplained = new BitSet();
+        unexplained.set(0, crashes.size());
         List<CrashPattern> patterns = new ArrayList<>();
         while (true) {
-            Map<String, Evidence> evidence = collect(unexplained, suspected);
-            evidence.forEach((part, found) -> found.known = known.contains(part));
+            Map<String, Evidence> evidence = collect(crashes, unexplained, suspected, known);
             Optional<Evidence> best =
                     evidence.values().stream()
                             .filter(Evidence::isSufficient)
@@ -92,37 +100,45 @@
             if (best.isEmpty()) {
                 return patterns;
             }
-            Set<ServerCrash> explained = best.get().crashes;
             Set<String> parts = new LinkedHashSet<>();
             evidence.forEach(
                     (part, other) -> {
-                        if (other.crashes.containsAll(explained)) {
+                        if (other.includes(best.get())) {
                             parts.add(part);
                         }
                     });
-            patterns.add(new CrashPattern(parts, List.copyOf(explained)));
-            unexplained.removeAll(explained);
+            BitSet explained = best.get().crashes;
+            patterns.add(
+                    new CrashPattern(parts, explained.stream().mapToObj(crashes::get).toList()));
+            unexplained.andNot(explained);
         }
     }
 
     private static Map<String, Evidence> collect(
-            List<ServerCrash> crashes, BiPredicate<String, ServerCrash> suspected) {
+            List<ServerCrash> crashes,
+            BitSet unexplained,
+            BiPredicate<String, ServerCrash> suspected,
+            Set<String> known) {
         // Sorted, so that all entries find the same patterns from the same crashes.
         Map<String, Evidence> evidence = new TreeMap<>();
-        for (ServerCrash crash : crashes) {
-            Map<String, Boolean> sharedByPart = new HashMap<>();
-            for (PromptParts prompt : crash.prompts()) {
-                prompt.ids().forEach(part -> sharedByPart.putIfAbsent(part, false));
-                prompt.shared().forEach(part -> sharedByPart.put(part, true));
-            }
-            sharedByPart.keySet().removeIf(part -> !suspected.test(part, crash));
-            sharedByPart.forEach(
-                    (part, shared) -> {
+        for (int i = unexplained.nextSetBit(0); i >= 0; i = unexplained.nextSetBit(i + 1)) {
+            for (PromptParts prompt : crashes.get(i).prompts()) {
+                int last = prompt.ids().size() - 1;
+                for (int position = 0; position <= last; position++) {
+                    String part = prompt.ids().get(position);
+                    if (suspected.test(part, crashes.get(i))) {
                         Evidence found = evidence.computeIfAbsent(part, unused -> new Evidence());
-                        found.crashes.add(crash);
-                        found.shared |= shared;
-                    });
+                        found.crashes.set(i);
+                        found.inner |= position > 0 && position < last;
+                    }
+                }
+            }
         }
+        evidence.forEach(
+                (part, found) -> {
+                    found.known = known.contains(part);
+                    found.countSeparate(crashes);
+                });
         return evidence;
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingParts.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingParts.java
@@ -10,31 +10,39 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
  * Decides which requests must not reach model servers, since a part of their prompts crashes each
  * server that begins to answer them.
  *
- * <p>Example: <code>parts.recordCrash(crash, nowMillis); parts.findMatch(prompt, nowMillis)</code>.
+ * <p>Example: <code>parts.recordCrash(crash, nowMillis); parts.findMatches(prompt)</code>.
  *
- * <p>Load pattern: requests with such a part come at all entries, no two alike, so each entry sees
- * only a few of the crashes. Entries exchange the crashes and come to the same decision without a
- * coordinator. A part of which an answer has begun after a crash did not cause it. A decision ends
- * when an answer begins in spite of it: requests in flight may show that, and one trial is granted
- * after a time that grows with the number of crashes. Not thread-safe.
+ * <p>Requests with such a part come at all entries, no two alike, so each entry sees only a few of
+ * the crashes. Entries exchange the crashes and come to the same {@link CrashPattern} without a
+ * coordinator. A part of which an answer has begun after a crash did not cause it. A pattern ends
+ * when an answer begins in spite of it: requests in flight may show that, and a trial is granted
+ * after a time that doubles with each crash. Not thread-safe.
  */
 public final class CrashingParts {
 
-    /** Age at which a crash is no longer taken into account. */
-    public static final long RETENTION_MILLIS = 600_000;
+    /** Age at which a crash that no pattern explains is no longer taken into account. */
+    private static final long RETENTION_MILLIS = 600_000;
 
-    /** Time without a crash, for each crash explained, after which a trial is granted. */
-    private static final long TRIAL_DELAY_MILLIS_PER_CRASH = 20_000;
+    /** Age of its last crash at which a pattern ends. */
+    private static final long PATTERN_RETENTION_MILLIS = 7_200_000;
 
-    /** Time between the trials of two entries; a crash is known at all of them much sooner. */
-    private static final long TRIAL_INTERVAL_MILLIS = 1_000;
+    /** Time without a crash after which a trial of a pattern of two crashes is granted. */
+    private static final long FIRST_TRIAL_DELAY_MILLIS = 40_000;
+
+    private static final long MAXIMUM_TRIAL_DELAY_MILLIS = 3_600_000;
+
+    /** Time between the trials of two entries; longer than a trial takes to show its outcome. */
+    private static final long TRIAL_INTERVAL_MILLIS = 3_000;
+
+    /** Reports of one server within this time are of the same crash; a restart takes longer. */
+    private static final long SAME_CRASH_MILLIS = 3_000;
 
     private static final int MAXIMUM_CRASHES = 64;
     private static final int MAXIMUM_PROMPTS_PER_CRASH = 32;
@@ -62,29 +70,33 @@
     public List<CrashPattern> recordCrash(ServerCrash crash, long nowMillis) {
         int known = indexOf(crash);
         if (known < 0) {
-            crashes.add(limitPrompts(crash, crash.prompts()));
-            crashes.sort(Comparator.comparingLong(ServerCrash::crashedMillis));
+            crashes.add(limitPrompts(crash, crash.crashedMillis(), crash.prompts()));
         } else {
-            Set<PromptParts> all = new LinkedHashSet<>(crashes.get(known).prompts());
-            if (!all.addAll(crash.prompts())) {
+            ServerCrash existing = crashes.get(known);
+            Set<PromptParts> all = new LinkedHashSet<>(existing.prompts());
+            boolean morePrompts = all.addAll(crash.prompts());
+            if (!morePrompts && crash.crashedMillis() >= existing.crashedMillis()) {
                 return List.of();
             }
-            crashes.set(known, limitPrompts(crashes.get(known), all));
+            // A crash cannot be observed before it happens, so the earliest report is the best.
+            long crashedMillis = Math.min(existing.crashedMillis(), crash.crashedMillis());
+            crashes.set(known, limitPrompts(existing, crashedMillis, all));
         }
+        crashes.sort(Comparator.comparingLong(ServerCrash::crashedMillis));
         for (PromptParts prompt : crash.prompts()) {
             for (String part : prompt.ids()) {
-                Optional.ofNullable(recentStartsMillis.get(part))
-                        .ifPresent(began -> startedMillis.merge(part, began, Math::max));
+                Long began = recentStartsMillis.get(part);
+                if (began != null) {
+                    startedMillis.merge(part, began, Math::max);
+                }
             }
         }
-        while (crashes.size() > MAXIMUM_CRASHES) {
-            crashes.remove(0);
-        }
         return update(nowMillis);
     }
 
     /**
-     * Records that a server has begun an answer, so that no part of its prompt crashes servers.
+     * Records that a server has begun an answer, so that no part of its prompt caused an earlier
+     * crash.
      *
      * @param prompt the parts of the prompt
      * @param beganMillis when the first event arrived
@@ -107,18 +119,16 @@
     }
 
     /**
-     * Returns the pattern that a request matches.
+     * Returns the patterns that a request matches.
      *
      * @param prompt the parts of the request's prompt
-     * @param nowMillis the current time
-     * @return the pattern, empty if the request may be sent to servers
+     * @return the patterns, empty if the request may be sent to servers
      */
-    public Optional<CrashPattern> findMatch(PromptParts prompt, long nowMillis) {
+    public List<CrashPattern> findMatches(PromptParts prompt) {
         if (patterns.isEmpty() || prompt.ids().isEmpty()) {
-            return Optional.empty();
+            return List.of();
         }
-        removeExpired(nowMillis);
-        return patterns.stream().filter(pattern -> prompt.containsAll(pattern.parts())).findFirst();
+        return patterns.stream().filter(pattern -> prompt.containsAll(pattern.parts())).toList();
     }
 
     /**
@@ -130,8 +140,9 @@
      * @return whether the request may be sent to a server
      */
     public boolean tryTrial(CrashPattern pattern, int rank, long nowMillis) {
+        int doublings = Math.min(pattern.crashes().size(), Integer.SIZE) - 2;
         long delayMillis =
-                TRIAL_DELAY_MILLIS_PER_CRASH * pattern.crashes().size()
+                Math.min(MAXIMUM_TRIAL_DELAY_MILLIS, FIRST_TRIAL_DELAY_MILLIS << doublings)
                         + TRIAL_INTERVAL_MILLIS * rank;
         long lastMillis =
                 Math.max(
@@ -144,20 +155,43 @@
         return true;
     }
 
+    /**
+     * Removes the crashes that are too old to be taken into account.
+     *
+     * @param nowMillis the current time
+     */
+    public void expire(long nowMillis) {
+        if (!crashes.isEmpty()) {
+            update(nowMillis);
+        }
+    }
+
     /**
      * Returns the patterns in force. May be called from any thread.
      *
-     * @return the patterns, those with the most crashes first
+     * @return the patterns
      */
     public List<CrashPattern> patterns() {
         return patterns;
     }
 
+    /**
+     * Returns when an answer to a prompt with a part last began, if the part was in a crash on
+     * record.
+     *
+     * @param part the id of the part
+     * @return the time in milliseconds, empty if no answer is known
+     */
+    public OptionalLong startedMillis(String part) {
+        Long began = startedMillis.get(part);
+        return began == null ? OptionalLong.empty() : OptionalLong.of(began);
+    }
+
     private List<CrashPattern> update(long nowMillis) {
         Set<Set<String>> before = partsOf(patterns);
         Set<String> known = new HashSet<>();
         before.forEach(known::addAll);
-        crashes.removeIf(crash -> nowMillis - crash.crashedMillis() > RETENTION_MILLIS);
+        removeOldCrashes(nowMillis);
         startedMillis.keySet().removeIf(part -> !isInCrash(part));
         patterns = List.copyOf(CrashPatternFinder.find(crashes, this::maySuspect, known));
         Set<Set<String>> after = partsOf(patterns);
@@ -165,11 +199,30 @@
         return patterns.stream().filter(pattern -> !before.contains(pattern.parts())).toList();
     }
 
-    private void removeExpired(long nowMillis) {
-        boolean expired =
-                crashes.stream().anyMatch(c -> nowMillis - c.crashedMillis() > RETENTION_MILLIS);
-        if (expired) {
-            update(nowMillis);
+    /**
+     * Removes old crashes, those of a pattern all at once, since a pattern of a part of them could
+     * match other requests.
+     */
+    private void removeOldCrashes(long nowMillis) {
+        Set<ServerCrash> explained = new HashSet<>();
+        for (CrashPattern pattern : patterns) {
+            if (nowMillis - pattern.lastCrashMillis() <= PATTERN_RETENTION_MILLIS) {
+                explained.addAll(pattern.crashes());
+            }
+        }
+        crashes.removeIf(
+                crash ->
+                        !explained.contains(crash)
+                                && nowMillis - crash.crashedMillis() > RETENTION_MILLIS);
+        for (int i = 0; crashes.size() > MAXIMUM_CRASHES && i < crashes.size(); ) {
+            if (explained.contains(crashes.get(i))) {
+                i++;
+            } else {
+                crashes.remove(i);
+            }
+        }
+        while (crashes.size() > MAXIMUM_CRASHES) {
+            crashes.remove(0);
         }
     }
 
@@ -192,7 +245,9 @@
 
     private int indexOf(ServerCrash crash) {
         for (int i = 0; i < crashes.size(); i++) {
-            if (crashes.get(i).server().equals(crash.server())) {
+            ServerCrash other = crashes.get(i);
+            long apartMillis = Math.abs(other.crashedMillis() - crash.crashedMillis());
+            if (other.server().equals(crash.server()) && apartMillis < SAME_CRASH_MILLIS) {
                 return i;
             }
         }
@@ -205,10 +260,11 @@
         return parts;
     }
 
-    private static ServerCrash limitPrompts(ServerCrash crash, Collection<PromptParts> prompts) {
+    private static ServerCrash limitPrompts(
+            ServerCrash crash, long crashedMillis, Collection<PromptParts> prompts) {
         return new ServerCrash(
                 crash.server(),
-                crash.crashedMillis(),
+                crashedMillis,
                 prompts.stream().distinct().limit(MAXIMUM_PROMPTS_PER_CRASH).toList());
     }
 
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingPartsTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingPartsTest.java
@@ -16,6 +16,7 @@
 class CrashingPartsTest {
 
     private static final String DEADLY = "deadly";
+    private static final long HOUR_MILLIS = 3_600_000;
 
     private final CrashingParts parts = new CrashingParts();
     private int servers;
@@ -25,13 +26,17 @@
     }
 
     private void crash(long atMillis, PromptParts... prompts) {
+        crashOf("s" + ++servers, atMillis, atMillis, prompts);
+    }
+
+    private void crashOf(String server, long atMillis, long nowMillis, PromptParts... prompts) {
         parts.recordCrash(
-                new ServerCrash(new Incarnation("s" + ++servers, 1), atMillis, List.of(prompts)),
-                atMillis);
+                new ServerCrash(new Incarnation(server, 1), atMillis, List.of(prompts)), nowMillis);
     }
 
     private boolean blocks(long nowMillis, String... ids) {
-        return parts.findMatch(prompt(ids), nowMillis).isPresent();
+        parts.expire(nowMillis);
+        return !parts.findMatches(prompt(ids)).isEmpty();
     }
 
     @Test
@@ -60,114 +65,189 @@
         assertThat(blocks(1_201, "other", DEADLY, "r5")).isTrue();
     }
 
+    /**
+     * Two deadly parts, or one and a server lost for another reason, behind the same first part.
+     */
+    @ParameterizedTest
+    @CsvSource({"second", "harmless"})
+    void doesNotBlameTheFirstPartForTwoCrashes(String other) {
+        crash(0, prompt("first", DEADLY, "r1"));
+        crash(1_000, prompt("first", other, "r2"));
+
+        assertThat(blocks(1_001, "first", "r3")).isFalse();
+        assertThat(blocks(1_001, "first", "third", "r4")).isFalse();
+    }
+
+    @Test
+    void findsTwoDeadlyPartsBehindTheSameFirstPart() {
+        crash(0, prompt("first", DEADLY, "r1"));
+        crash(1_000, prompt("first", DEADLY, "r2"));
+        crash(5_000, prompt("first", "second", "r3"));
+        assertThat(blocks(5_001, "first", "r4")).isFalse();
+        assertThat(blocks(5_001, "first", DEADLY, "r4")).isTrue();
+
+        crash(6_000, prompt("first", "second", "r5"));
+
+        assertThat(blocks(6_001, "first", DEADLY, "r6")).isTrue();
+        assertThat(blocks(6_001, "first", "second", "r7")).isTrue();
+        assertThat(blocks(6_001, "first", "r8")).isFalse();
+    }
+
+    @Test
+    void findsTwoDeadlyPartsOneAfterTheOther() {
+        crash(0, prompt("a", DEADLY, "r1"));
+        crash(1_000, prompt("b", DEADLY, "r2"));
+        crash(5_000, prompt("a", "second", "r3"));
+        crash(6_000, prompt("c", "second", "r4"));
+
+        assertThat(blocks(6_001, "d", DEADLY, "r5")).isTrue();
+        assertThat(blocks(6_001, "d", "second", "r6")).isTrue();
+        assertThat(blocks(6_001, "d", "r7")).isFalse();
+    }
+
     @Test
     void answerThatBeganAfterTheCrashClearsItsParts() {
-        crash(0, prompt("popular", "r1"));
-        parts.recordStart(prompt("popular", "r2"), 100, 100);
-        crash(1_000, prompt("popular", "r3"));
-        assertThat(blocks(1_001, "popular", "r4")).isFalse();
-
-        crash(2_000, prompt("popular", "r5"));
-        assertThat(blocks(2_001, "popular", "r6")).isTrue();
-        assertThat(parts.recordStart(prompt("popular", "r4"), 2_100, 2_100))
+        crash(0, prompt("f1", "popular", "r1"));
+        parts.recordStart(prompt("f2", "popular", "r2"), 100, 100);
+        crash(1_000, prompt("f3", "popular", "r3"));
+        assertThat(blocks(1_001, "f4", "popular", "r4")).isFalse();
+
+        crash(2_000, prompt("f5", "popular", "r5"));
+        assertThat(blocks(2_001, "f6", "popular", "r6")).isTrue();
+        assertThat(parts.recordStart(prompt("f4", "popular", "r4"), 2_100, 2_100))
                 .containsExactly("popular");
-        assertThat(blocks(2_101, "popular", "r6")).isFalse();
+        assertThat(blocks(2_101, "f6", "popular", "r6")).isFalse();
     }
 
     @Test
     void answerThatBeganBeforeTheCrashClearsNothing() {
-        parts.recordStart(prompt(DEADLY, "r0"), -10, -10);
-        crash(0, prompt(DEADLY, "r1"));
-        crash(1_000, prompt(DEADLY, "r2"));
+        parts.recordStart(prompt("f0", DEADLY, "r0"), -10, -10);
+        crash(0, prompt("f1", DEADLY, "r1"));
+        crash(1_000, prompt("f2", DEADLY, "r2"));
 
-        assertThat(blocks(1_001, DEADLY, "r3")).isTrue();
+        assertThat(blocks(1_001, "f3", DEADLY, "r3")).isTrue();
     }
 
     @Test
     void answerThatBeganBeforeALateReportClearsItsParts() {
-        parts.recordStart(prompt("popular", "r0"), 1_100, 1_100);
-        crash(0, prompt("popular", "r1"));
-        crash(1_000, prompt("popular", "r2"));
+        parts.recordStart(prompt("f0", "popular", "r0"), 1_100, 1_100);
+        crash(0, prompt("f1", "popular", "r1"));
+        crash(1_000, prompt("f2", "popular", "r2"));
 
-        assertThat(blocks(1_200, "popular", "r3")).isFalse();
+        assertThat(blocks(1_200, "f3", "popular", "r3")).isFalse();
     }
 
     /** A server loss retries harmless requests at the next server, which a deadly part crashes. */
     @Test
     void doesNotBlameRequestsThatWereRetriedBesideTheDeadlyPart() {
-        PromptParts retried = prompt("rare", "r1");
+        PromptParts retried = prompt("f", "rare", "r1");
         crash(0, prompt("a", DEADLY, "r2"), retried);
         crash(1_000, prompt("b", DEADLY, "r3"), retried);
-        assertThat(blocks(1_001, "rare", "r1")).isFalse();
+        assertThat(blocks(1_001, "f", "rare", "r1")).isFalse();
 
         crash(2_000, prompt("c", DEADLY, "r4"));
 
         assertThat(blocks(2_001, "d", DEADLY, "r5")).isTrue();
-        assertThat(blocks(2_001, "rare", "r1")).isFalse();
+        assertThat(blocks(2_001, "f", "rare", "r1")).isFalse();
     }
 
     @Test
-    void findsTwoDeadlyPartsOneAfterTheOther() {
-        crash(0, prompt("a", DEADLY, "r1"));
-        crash(1_000, prompt("b", DEADLY, "r2"));
-        crash(5_000, prompt("a", "second", "r3"));
-        crash(6_000, prompt("c", "second", "r4"));
+    void serversThatAreLostTogetherBlameNothing() {
+        IntStream.range(0, 6).forEach(i -> crash(i * 30L, prompt("f" + i, "popular", "r" + i)));
 
-        assertThat(blocks(6_001, "d", DEADLY, "r5")).isTrue();
-        assertThat(blocks(6_001, "d", "second", "r6")).isTrue();
-        assertThat(blocks(6_001, "d", "r7")).isFalse();
+        assertThat(blocks(400, "f", "popular", "r9")).isFalse();
     }
 
     @Test
-    void serversThatAreLostTogetherBlameNothing() {
-        IntStream.range(0, 6).forEach(i -> crash(i * 30L, prompt("popular", "r" + i)));
+    void reportsOfTheSameCrashCountOnceAtTheEarliestTime() {
+        crash(0, prompt("f1", DEADLY, "r1"));
+        crashOf("late", 700, 700, prompt("f2", DEADLY, "r2"));
+        crashOf("late", 50, 800, prompt("f2", DEADLY, "r2"));
 
-        assertThat(blocks(400, "popular", "r9")).isFalse();
+        assertThat(blocks(801, "f3", DEADLY, "r3")).isFalse();
     }
 
+    /** The list of servers may not have the next incarnation yet while the store is away. */
     @Test
-    void reportsOfTheSameCrashCountOnce() {
-        for (long atMillis : new long[] {0, 1_000, 2_000}) {
-            parts.recordCrash(
-                    new ServerCrash(
-                            new Incarnation("s", 1), atMillis, List.of(prompt(DEADLY, "r"))),
-                    atMillis);
-        }
-        assertThat(blocks(2_001, DEADLY, "r2")).isFalse();
+    void laterCrashesOfAServerCountAlsoUnderItsOldIncarnation() {
+        crashOf("same", 0, 0, prompt("f1", DEADLY, "r1"));
+        crashOf("same", 4_000, 4_000, prompt("f2", DEADLY, "r2"));
+
+        assertThat(blocks(4_001, "f3", DEADLY, "r3")).isTrue();
     }
 
-    /** The last part belongs to one request or session, so that no other request refutes it. */
     @ParameterizedTest
-    @CsvSource({"2, false", "3, true"})
-    void blamesTheLastPartAfterThreeCrashes(int crashes, boolean blocked) {
-        IntStream.range(0, crashes).forEach(i -> crash(i * 1_000L, prompt("p" + i, "session")));
+    @CsvSource({"first, x, 2, false", "first, x, 3, true", "x, last, 2, false", "x, last, 3, true"})
+    void blamesTheFirstOrTheLastPartAfterThreeCrashes(
+            String first, String last, int crashes, boolean blocked) {
+        for (int i = 0; i < crashes; i++) {
+            crash(
+                    i * 1_000L,
+                    prompt(first.equals("x") ? "x" + i : first, last.equals("x") ? "y" + i : last));
+        }
 
-        assertThat(blocks(10_000, "p", "session")).isEqualTo(blocked);
+        assertThat(blocks(10_000, first, last)).isEqualTo(blocked);
     }
 
     @Test
-    void grantsOneTrialAfterATimeThatGrowsWithTheCrashes() {
-        crash(0, prompt(DEADLY, "r1"));
-        crash(1_000, prompt(DEADLY, "r2"));
+    void grantsOneTrialAfterATimeThatDoublesWithEachCrash() {
+        crash(0, prompt("f1", DEADLY, "r1"));
+        crash(1_000, prompt("f2", DEADLY, "r2"));
         CrashPattern pattern = parts.patterns().get(0);
 
-        assertThat(parts.tryTrial(pattern, 0, 40_000)).isFalse();
+        assertThat(parts.tryTrial(pattern, 0, 40_999)).isFalse();
         assertThat(parts.tryTrial(pattern, 1, 41_000)).isFalse();
         assertThat(parts.tryTrial(pattern, 0, 41_000)).isTrue();
         assertThat(parts.tryTrial(pattern, 0, 41_001)).isFalse();
 
-        crash(41_100, prompt(DEADLY, "r3"));
-        assertThat(parts.tryTrial(parts.patterns().get(0), 0, 90_000)).isFalse();
-        assertThat(parts.tryTrial(parts.patterns().get(0), 0, 101_100)).isTrue();
+        crash(41_100, prompt("f3", DEADLY, "r3"));
+        assertThat(parts.tryTrial(parts.patterns().get(0), 0, 121_099)).isFalse();
+        assertThat(parts.tryTrial(parts.patterns().get(0), 0, 121_100)).isTrue();
+    }
+
+    @Test
+    void atMostThreeTrialsCrashServersWithinAnHourAfterTheFifthCrash() {
+        IntStream.range(0, 5).forEach(i -> crash(i * 1_000L, prompt("f" + i, DEADLY, "r" + i)));
+        int trials = 0;
+        for (long now = 5_000; now < HOUR_MILLIS; now += 1_000) {
+            parts.expire(now);
+            if (parts.tryTrial(parts.patterns().get(0), 0, now)) {
+                trials++;
+                crash(now + 100, prompt("g" + now, DEADLY, "t" + now));
+            }
+        }
+        assertThat(trials).isBetween(1, 3);
     }
 
     @Test
     void forgetsOldCrashes() {
-        crash(0, prompt(DEADLY, "r1"));
-        crash(1_000, prompt(DEADLY, "r2"));
+        crash(0, prompt("f1", DEADLY, "r1"));
+        assertThat(blocks(HOUR_MILLIS, "f2", DEADLY, "r2")).isFalse();
+        crash(HOUR_MILLIS, prompt("f2", DEADLY, "r2"));
+        assertThat(blocks(HOUR_MILLIS + 1, "f3", DEADLY, "r3")).isFalse();
+
+        crash(HOUR_MILLIS + 1_000, prompt("f3", DEADLY, "r3"));
+        assertThat(blocks(3 * HOUR_MILLIS, "f4", DEADLY, "r4")).isTrue();
+        assertThat(blocks(3 * HOUR_MILLIS + 1_001, "f4", DEADLY, "r4")).isFalse();
+    }
+
+    /** With fewer crashes, parts that were not in all of them would be blamed together with it. */
+    @Test
+    void expiryDoesNotLetFurtherRequestsThrough() {
+        crash(0, prompt("b", DEADLY, "r1"));
+        crash(1_000, prompt("a", DEADLY, "r2"));
+        crash(500_000, prompt("a", DEADLY, "r3"));
+
+        assertThat(blocks(700_000, "c", DEADLY, "r4")).isTrue();
+    }
+
+    @Test
+    void otherCrashesDoNotEvictThoseOfAPattern() {
+        crash(0, prompt("f1", DEADLY, "r1"));
+        crash(1_000, prompt("f2", DEADLY, "r2"));
+        IntStream.range(0, 100).forEach(i -> crash(2_000 + i * 300L, prompt("x" + i, "y" + i)));
 
-        assertThat(blocks(CrashingParts.RETENTION_MILLIS, DEADLY, "r3")).isTrue();
-        assertThat(blocks(CrashingParts.RETENTION_MILLIS + 1_001, DEADLY, "r3")).isFalse();
+        assertThat(blocks(40_000, "f3", DEADLY, "r3")).isTrue();
     }
 
     @Test
