Count the crash of a retried request as separate

A retry reaches its server after the first crash, so the two cannot have been lost together.

Change: crashes with the same prompt are separate whatever their distance.

Measured: blocksTheRequestThatCrashedTwoServersInAMoment failed before.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
@@ -3,6 +3,7 @@
 import dev.foxtailshed.kernel.direct.PromptParts;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -34,7 +35,8 @@
 
     /**
      * Crashes within this time count once, since servers that are lost together, as with their
-     * availability zone, have a common cause outside of the prompts.
+     * availability zone, have a common cause outside of the prompts. Not if the same prompt is in
+     * both, as it was sent to the second server after the first had crashed.
      */
     private static final long COMMON_CAUSE_MILLIS = 200;
 
@@ -59,16 +61,21 @@
 
         void countSeparate(List<ServerCrash> all) {
             separateCrashes = 0;
-            long countedMillis = 0;
+            ServerCrash counted = null;
             for (int i = crashes.nextSetBit(0); i >= 0; i = crashes.nextSetBit(i + 1)) {
-                long crashedMillis = all.get(i).crashedMillis();
-                if (separateCrashes == 0 || crashedMillis - countedMillis > COMMON_CAUSE_MILLIS) {
+                ServerCrash crash = all.get(i);
+                if (counted == null || areSeparate(counted, crash)) {
                     separateCrashes++;
-                    countedMillis = crashedMillis;
+                    counted = crash;
                 }
             }
         }
 
+        private static boolean areSeparate(ServerCrash first, ServerCrash second) {
+            return second.crashedMillis() - first.crashedMillis() > COMMON_CAUSE_MILLIS
+                    || !Collections.disjoint(first.prompts(), second.prompts());
+        }
+
         private static Comparator<Evidence> byWeight() {
             return Comparator.<Evidence, Boolean>comparing(evidence -> evidence.inner)
                     .thenComparing(evidence -> evidence.separateCrashes)
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingPartsTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingPartsTest.java
@@ -158,6 +158,17 @@
         assertThat(blocks(400, "f", "popular", "r9")).isFalse();
     }
 
+    /** The retry of a request crashed a second server within the time of a common cause. */
+    @Test
+    void blocksTheRequestThatCrashedTwoServersInAMoment() {
+        PromptParts retried = prompt("f", DEADLY, "r1");
+        crash(0, retried);
+        crash(120, retried);
+
+        assertThat(blocks(121, "f", DEADLY, "r1")).isTrue();
+        assertThat(blocks(121, "f", DEADLY, "r2")).isFalse();
+    }
+
     @Test
     void reportsOfTheSameCrashCountOnceAtTheEarliestTime() {
         crash(0, prompt("f1", DEADLY, "r1"));
