--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -79,7 +79,7 @@
     STREAM_STARTED(5007, Level.INFO, "A model server sent the first event of a stream."),
     STREAM_ENDED(5008, Level.INFO, "A stream of a model server was completed."),
     SERVER_CRASHED(
-            5010,
+            5015,
             Level.WARN,
             "A model server crashed before it began to answer the prompts with these parts."),
     CRASH_PATTERN_FOUND(
