--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -18,6 +18,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * A request to a language model: reserves decode capacity, prefills the prompt, then streams.
@@ -35,6 +36,7 @@
 
     private final ModelService service;
     private final TokenCounts tokenCounts;
+    private final CrashGuard crashGuard;
     private final EventStreamSplitter splitter;
     private Optional<Waiter<ModelFlow>> waiter = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
@@ -46,6 +48,7 @@
     private int prefillAttempts;
     private boolean resuming;
     private boolean reservationUsed;
+    private OptionalLong crashTrialMillis = OptionalLong.empty();
     private long reservedAtMillis;
     private long prefillSentAtMillis;
     private long prefilledAtMillis;
@@ -56,10 +59,12 @@
             CallerRequest request,
             CallerStream caller,
             ModelService service,
-            TokenCounts tokenCounts) {
+            TokenCounts tokenCounts,
+            CrashGuard crashGuard) {
         super(context, request, caller);
         this.service = service;
         this.tokenCounts = tokenCounts;
+        this.crashGuard = crashGuard;
         this.splitter = new EventStreamSplitter(newEventSequence());
     }
 
@@ -77,6 +82,9 @@
 
     @Override
     void begin() {
+        if (failIfBlocked()) {
+            return;
+        }
         long nowMillis = context.timer().nowMillis();
         boolean late = service.isLate(request, nowMillis);
         long giveUpAtMillis = service.giveUpAtMillis(request, late || resuming, nowMillis);
@@ -142,7 +150,23 @@
         fail(message, false, service.retryAfterMillis(remainingMillis()));
     }
 
+    /** Fails the request if its prompt crashes servers, which may have become known meanwhile. */
+    private boolean failIfBlocked() {
+        CrashGuard.Admission admission = crashGuard.admit(request, crashTrialMillis);
+        if (admission == CrashGuard.Admission.TRIAL && crashTrialMillis.isEmpty()) {
+            crashTrialMillis = OptionalLong.of(context.timer().nowMillis());
+        }
+        if (admission != CrashGuard.Admission.BLOCKED) {
+            return false;
+        }
+        failBlocked("model servers crash when they begin to answer this prompt");
+        return true;
+    }
+
     private void startPrefill() {
+        if (failIfBlocked()) {
+            return;
+        }
         Optional<DirectServer> claimed = claimedPrefillServer;
         releasePrefillClaim();
         Optional<DirectServer> server =
@@ -202,6 +226,9 @@
             begin();
             return;
         }
+        if (failIfBlocked()) {
+            return;
+        }
         OptionalLong resumeAfter = resuming ? splitter.lastEventId() : OptionalLong.empty();
         AttemptOptions options =
                 new AttemptOptions(
@@ -227,6 +254,9 @@
         cachedPrompt.ifPresent(
                 prompt -> service.prefillSelector().recordUsedHandle(prompt.server()));
         cachedPrompt = Optional.empty();
+        if (HttpStatus.isSuccess(current.status())) {
+            crashGuard.recordStart(request);
+        }
         service.reservations().recordRunStart(current.server());
         context.recorder()
                 .recordStreamStart(
@@ -246,6 +276,9 @@
         relay = Optional.empty();
         recordAttemptEnd(current.server(), outcome);
         reservationUsed = outcome != CallOutcome.REFUSED && outcome != CallOutcome.UNREACHABLE;
+        if (outcome == CallOutcome.BROKEN && !splitter.hasEvents()) {
+            crashGuard.recordBrokenStart(request, current.server());
+        }
         if (isFinished()) {
             return;
         }
