Print all event logs and engine counts when FencingIT fails, and name the cause of a 410

The engine stand-in answered every failed import with the same 410.

Change: the 410 names what the export's source answered, or the failure of the call. On a failure FencingIT prints the event logs of all processes, replaced ones included, and the counts of the engines.

Evidence: EngineStandInTest asks that the 410 for an evicted export names the status 404.

--- a/harness/src/main/java/dev/foxtailshed/harness/Installation.java
+++ b/harness/src/main/java/dev/foxtailshed/harness/Installation.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
 
 /**
  * An installation of the product on loopback: a platform, backend servers, their sidecars behind
@@ -37,6 +39,7 @@
     private final Map<String, JavaProcess> sidecars = new LinkedHashMap<>();
     private final SidecarProxies proxies = new SidecarProxies();
     private final List<JavaProcess> entries = new ArrayList<>();
+    private final List<JavaProcess> started = new CopyOnWriteArrayList<>();
 
     Installation(InstallationBuilder options) throws IOException {
         this.options = options;
@@ -76,6 +79,13 @@
         return backends.get(server);
     }
 
+    /** Returns the event logs of all processes that were started, including replaced ones. */
+    public String eventLogs() {
+        return started.stream()
+                .map(process -> "--- " + process + "\n" + process.errorOutput())
+                .collect(Collectors.joining("\n"));
+    }
+
     /** Returns the HTTP client of this installation. */
     public HttpCaller http() {
         return http;
@@ -345,8 +355,7 @@
                             manifest.serverOf(server).get("checksFencing").getAsString()));
             arguments.addAll(options.engineArguments);
         }
-        return JavaProcess.start(
-                server, ProgramJar.STANDINS, options.jvmOptions, Map.of(), arguments);
+        return start(server, ProgramJar.STANDINS, Map.of(), arguments);
     }
 
     private JavaProcess startSidecar(String server) {
@@ -368,12 +377,7 @@
                                 "--backend-kind",
                                 manifest.isPlain(server) ? "plain" : "engine"));
         arguments.addAll(options.sidecarArguments);
-        return JavaProcess.start(
-                "sidecar-" + server,
-                ProgramJar.DAEMON,
-                options.jvmOptions,
-                keyEnvironment(),
-                arguments);
+        return start("sidecar-" + server, ProgramJar.DAEMON, keyEnvironment(), arguments);
     }
 
     private JavaProcess startEntry(int index, List<String> moreArguments) {
@@ -395,12 +399,18 @@
                                 "200"));
         arguments.addAll(options.entryArguments);
         arguments.addAll(moreArguments);
-        return JavaProcess.start(
-                "entry-" + index,
-                ProgramJar.DAEMON,
-                options.jvmOptions,
-                keyEnvironment(),
-                arguments);
+        return start("entry-" + index, ProgramJar.DAEMON, keyEnvironment(), arguments);
+    }
+
+    private JavaProcess start(
+            String name,
+            ProgramJar program,
+            Map<String, String> environment,
+            List<String> arguments) {
+        JavaProcess process =
+                JavaProcess.start(name, program, options.jvmOptions, environment, arguments);
+        started.add(process);
+        return process;
     }
 
     private void registerEntry(int index) {
--- a/harness/src/main/java/dev/foxtailshed/harness/JavaProcess.java
+++ b/harness/src/main/java/dev/foxtailshed/harness/JavaProcess.java
@@ -122,6 +122,12 @@
         return awaitReady();
     }
 
+    /** Returns the name and the process id. */
+    @Override
+    public String toString() {
+        return name + " (process " + pid() + ")";
+    }
+
     /** Returns the process id assigned by the operating system. */
     public long pid() {
         return process.pid();
--- a/integration/src/test/java/dev/foxtailshed/integration/FencingIT.java
+++ b/integration/src/test/java/dev/foxtailshed/integration/FencingIT.java
@@ -19,6 +19,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +30,8 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /**
  * Tests that a sidecar which was frozen, replaced and resumed has no lasting effect on its engine:
@@ -51,6 +54,18 @@
 
     private static Installation site;
 
+    @RegisterExtension
+    static final AfterTestExecutionCallback EVIDENCE_PRINTER =
+            context -> {
+                if (context.getExecutionException().isPresent()) {
+                    System.err.println(site.eventLogs());
+                    for (String server : List.of("p1", "p2", "d1", "d2")) {
+                        String counts = site.readBackendState(server, "/control/counts").toString();
+                        System.err.println("--- counts of " + server + "\n" + counts);
+                    }
+                }
+            };
+
     /** Leases and grants outlast the tests, so that only fencing can stop a late commit. */
     @BeforeAll
     static void start() throws IOException {
--- a/standins/src/main/java/dev/foxtailshed/standins/internal/engine/Engine.java
+++ b/standins/src/main/java/dev/foxtailshed/standins/internal/engine/Engine.java
@@ -168,13 +168,14 @@
         link.remove(request);
     }
 
-    private synchronized void onImportEnded(EngineRequest request, boolean complete) {
+    private synchronized void onImportEnded(EngineRequest request, Optional<String> failure) {
         if (request.ended) {
             return;
         }
-        if (!complete) {
+        if (failure.isPresent()) {
             release(request);
-            request.call.reply(Reply.error(410, "the export could not be imported"));
+            request.call.reply(
+                    Reply.error(410, "the export could not be imported: " + failure.get()));
             return;
         }
         request.stream = request.call.stream(200, "text/event-stream");
--- a/standins/src/main/java/dev/foxtailshed/standins/internal/engine/KvTransferLink.java
+++ b/standins/src/main/java/dev/foxtailshed/standins/internal/engine/KvTransferLink.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.standins.internal.engine;
 
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -69,13 +70,18 @@
                     .timeout(TAKE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                     .send(r -> scheduler.execute(() -> taken(request, r)));
         } catch (IllegalArgumentException e) {
-            scheduler.execute(() -> finish(request, false));
+            scheduler.execute(() -> finish(request, Optional.of("malformed source URL")));
         }
     }
 
     private void taken(EngineRequest request, Result result) {
-        if (result.isFailed() || result.getResponse().getStatus() != 200) {
-            finish(request, false);
+        if (result.isFailed()) {
+            finish(request, Optional.of(result.getFailure().toString()));
+            return;
+        }
+        int status = result.getResponse().getStatus();
+        if (status != 200) {
+            finish(request, Optional.of("its source responded with status " + status));
             return;
         }
         synchronized (this) {
@@ -87,18 +93,20 @@
                             * request.completionRequest.kvTransferParams().sizeBytes()
                             / bytesPerSecond;
             long nanos = (long) (seconds * NANOS_PER_SECOND);
-            transfer = scheduler.schedule(() -> finish(request, true), nanos, TimeUnit.NANOSECONDS);
+            transfer =
+                    scheduler.schedule(
+                            () -> finish(request, Optional.empty()), nanos, TimeUnit.NANOSECONDS);
         }
     }
 
-    private void finish(EngineRequest request, boolean complete) {
+    private void finish(EngineRequest request, Optional<String> failure) {
         synchronized (this) {
             if (current != request) {
                 return;
             }
             release();
         }
-        listener.onImportEnded(request, complete);
+        listener.onImportEnded(request, failure);
     }
 
     private void release() {
@@ -113,7 +121,11 @@
     /** A listener for the end of imports. */
     interface ImportListener {
 
-        /** Runs when an import has completed or has failed, for instance on an evicted export. */
-        void onImportEnded(EngineRequest request, boolean complete);
+        /**
+         * Runs when an import has ended.
+         *
+         * @param failure the cause of a failure, for instance an evicted export
+         */
+        void onImportEnded(EngineRequest request, Optional<String> failure);
     }
 }
--- a/standins/src/test/java/dev/foxtailshed/standins/EngineStandInTest.java
+++ b/standins/src/test/java/dev/foxtailshed/standins/EngineStandInTest.java
@@ -84,7 +84,9 @@
             JsonObject export = export(shortLived, PROMPT);
             await().until(() -> counts(shortLived).get("exportsEvicted").getAsInt() == 1);
 
-            assertThat(decode(export, PROMPT, 5, "").send().getStatus()).isEqualTo(410);
+            ContentResponse response = decode(export, PROMPT, 5, "").send();
+            assertThat(response.getStatus()).isEqualTo(410);
+            assertThat(response.getContentAsString()).contains("status 404");
             assertHeld(shortLived, 0, 0, 0);
             assertHeld(decode, 0, 0, 0);
         }
