--- a/integration/src/test/java/dev/foxtailshed/integration/FencingIT.java
+++ b/integration/src/test/java/dev/foxtailshed/integration/FencingIT.java
@@ -19,6 +19,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +30,8 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /**
  * Tests that a sidecar which was frozen, replaced and resumed has no lasting effect on its engine:
@@ -51,14 +54,29 @@
 
     private static Installation site;
 
-    /** Leases and grants outlast the tests, so that only fencing can stop a late commit. */
+    @RegisterExtension
+    static final AfterTestExecutionCallback EVIDENCE_PRINTER =
+            context -> {
+                if (context.getExecutionException().isPresent()) {
+                    System.err.println(site.eventLogs());
+                    for (String server : List.of("p1", "p2", "d1", "d2")) {
+                        String counts = site.readBackendState(server, "/control/counts").toString();
+                        System.err.println("--- counts of " + server + "\n" + counts);
+                    }
+                }
+            };
+
+    /**
+     * Leases, grants and exports outlast the tests, so that only fencing can stop a late commit and
+     * only a late cancellation can lose an export.
+     */
     @BeforeAll
     static void start() throws IOException {
         site =
                 Installation.builder()
                         .manifest(manifestWithTwoPrefillServers())
                         .sidecarArguments("--lease-millis", "60000", "--grant-millis", "60000")
-                        .engineArguments("--token-millis", "2")
+                        .engineArguments("--token-millis", "2", "--export-ttl-millis", "60000")
                         .start();
     }
 
@@ -95,6 +113,7 @@
                     () -> site.sidecar("p2").errorOutput().contains(orphanCancelled));
             Waiting.await(
                     "no KV piece is held", LIMIT_MILLIS, () -> readCount("p2", "heldPieces") == 0);
+            long cancelsBefore = readCount("p2", "cancels");
 
             site.registerSidecar("p1", "leaving");
             Waiting.await("p1 is leaving", LIMIT_MILLIS, () -> isLeaving("p1"));
@@ -106,6 +125,8 @@
             }
 
             assertThat(lateCommit.sidecar.errorOutput()).contains(REPLACED);
+            // The entry runs a cancelled prefill elsewhere without reporting a retry.
+            assertThat(readCount("p2", "cancels")).isEqualTo(cancelsBefore);
             assertThat(site.entry(0).errorOutput()).doesNotContain("REQUEST_RETRIED");
         } finally {
             site.registerSidecar("p1", "live");
