Never end a stream before the event at which it broke off

Cause: found by a review. A stream broke off inside an event, and the server at which it went on answered 200 without any event, with complete framing. What was left of the earlier attempt was discarded before, so that the stream ended as complete although a further event is known to exist. A 204 or 206 passed for such a response, too.

Change: the splitter remembers that an event was interrupted until another one is complete, and only status 200 may continue a response. A blank line before the first event does not count as the first event.

Measured: emptyResumptionNeverLooksLikeTheEndOfTheStream failed before (the body ended with event 2); DirectStreamTest, 27 tests, passes. The review also suspected that a server which always repeats events is tried without a bound; streamThatItsOnlyServerAlwaysBreaksIsGivenUp passes before the change, so no bound was added and the test stays as a guard.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -52,6 +52,7 @@
     private boolean isEventStream;
     private HttpFields heldHeaders = HttpFields.EMPTY;
     private boolean hasEvents;
+    private int earlierEvents;
     private Optional<Subscription> stallTimer = Optional.empty();
     private long lastBytesMillis;
 
@@ -91,6 +92,7 @@
 
     void send() {
         splitter.startRun();
+        earlierEvents = splitter.eventCount();
         call.send();
         lastBytesMillis = context.timer().nowMillis();
         if (flow.request.route().repeatability().mayRunAgain() && flow.remainingServers() > 0) {
@@ -145,7 +147,11 @@
     public void onHead(int headStatus, HttpFields headers) {
         status = headStatus;
         lastBytesMillis = context.timer().nowMillis();
-        isEventStream = HttpStatus.isSuccess(headStatus) && mayHaveEvents(headers);
+        boolean mayStartOrContinue =
+                flow.isResponseStarted()
+                        ? headStatus == HttpStatus.OK_200
+                        : HttpStatus.isSuccess(headStatus);
+        isEventStream = mayStartOrContinue && mayHaveEvents(headers);
         if (isEventStream) {
             // Only the first call takes effect, so a resumed stream keeps its first server's head.
             flow.startResponse(headStatus, headers);
@@ -165,8 +171,11 @@
     @Override
     public Optional<String> findMissingPart() {
         // A server that stops may close its connection in good order inside an event.
-        return isEventStream && splitter.incompleteEvent().length > 0
-                ? Optional.of("the stream ended inside an event")
+        if (isEventStream && splitter.incompleteEvent().length > 0) {
+            return Optional.of("the stream ended inside an event");
+        }
+        return isEventStream && splitter.isInterrupted()
+                ? Optional.of("the stream ended before the event at which it had broken off")
                 : Optional.empty();
     }
 
@@ -192,7 +201,7 @@
 
     private void forwardEvents(byte[] events) {
         flow.writeResponse(events);
-        if (!hasEvents) {
+        if (!hasEvents && splitter.eventCount() > earlierEvents) {
             hasEvents = true;
             listener.onFirstEvent(this);
         }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
@@ -22,6 +22,7 @@
     private OptionalLong firstEventId = OptionalLong.empty();
     private OptionalLong lastEventId = OptionalLong.empty();
     private int eventCount;
+    private boolean interrupted;
 
     /**
      * Creates a splitter.
@@ -62,8 +63,21 @@
         return incompleteEvent;
     }
 
-    /** Discards the bytes of the incomplete event, since the stream continues with another run. */
+    /**
+     * Returns whether an earlier run broke off inside an event that was not received since, so that
+     * the stream cannot be complete.
+     *
+     * @return true until the next complete event
+     */
+    public boolean isInterrupted() {
+        return interrupted;
+    }
+
+    /**
+     * Discards the incomplete event and the first id, since the stream goes on with another run.
+     */
     public void startRun() {
+        interrupted |= incompleteEvent.length > 0 && misplacedEventId.isEmpty();
         incompleteEvent = new byte[0];
         misplacedEventId = OptionalLong.empty();
         firstEventId = OptionalLong.empty();
@@ -157,6 +171,7 @@
             firstEventId = firstEventId.isPresent() ? firstEventId : id;
         }
         eventCount++;
+        interrupted = false;
         return true;
     }
 
