--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -62,7 +62,7 @@
     private final Consumer<CrashNotice> notices;
     private final ToIntFunction<Set<String>> trialRank;
     private final CrashDetector detector;
-    private final CrashingParts parts = new CrashingParts();
+    private final CrashingParts crashingParts = new CrashingParts();
 
     /** Cleared parts that the other entries have not been told of. */
     private final List<Set<String>> unannounced = new ArrayList<>();
@@ -108,7 +108,7 @@
         context.timer()
                 .every(
                         EXPIRY_PERIOD_MILLIS,
-                        () -> context.runOnLoop(() -> parts.expire(nowMillis())));
+                        () -> context.runOnLoop(() -> crashingParts.expire(nowMillis())));
     }
 
     /**
@@ -118,7 +118,7 @@
      * @param trialMillis when the request was granted a trial, which holds until the next crash
      */
     Admission admit(CallerRequest request, OptionalLong trialMillis) {
-        List<CrashPattern> matches = parts.findMatches(request.attributes().promptParts());
+        List<CrashPattern> matches = crashingParts.findMatches(request.attributes().promptParts());
         if (matches.isEmpty()) {
             return Admission.ADMITTED;
         }
@@ -127,7 +127,7 @@
                 trialMillis.isPresent()
                         ? pattern.lastCrashMillis() < trialMillis.getAsLong()
                         : matches.size() == 1
-                                && parts.tryTrial(
+                                && crashingParts.tryTrial(
                                         pattern,
                                         trialRank.applyAsInt(pattern.parts()),
                                         nowMillis());
@@ -211,11 +211,11 @@
 
     /** Returns the number of patterns in force. May be called from any thread. */
     int patternCount() {
-        return parts.patterns().size();
+        return crashingParts.patterns().size();
     }
 
     private void applyCrash(ServerCrash crash) {
-        for (CrashPattern pattern : parts.recordCrash(crash, nowMillis())) {
+        for (CrashPattern pattern : crashingParts.recordCrash(crash, nowMillis())) {
             EventLog.log(
                     EventCode.CRASH_PATTERN_FOUND,
                     Field.of(PARTS_FIELD, pattern.parts()),
@@ -226,8 +226,8 @@
     }
 
     private Set<String> applyStart(PromptParts prompt, long beganMillis) {
-        List<CrashPattern> before = parts.patterns();
-        Set<String> cleared = parts.recordStart(prompt, beganMillis, nowMillis());
+        List<CrashPattern> before = crashingParts.patterns();
+        Set<String> cleared = crashingParts.recordStart(prompt, beganMillis, nowMillis());
         for (CrashPattern pattern : before) {
             if (pattern.parts().stream().anyMatch(cleared::contains)) {
                 EventLog.log(
@@ -251,7 +251,8 @@
         long nowMillis = nowMillis();
         Set<String> seenParts = new LinkedHashSet<>();
         List<CrashNotice> crashes = new ArrayList<>();
-        for (CrashPattern pattern : parts.patterns().stream().limit(MAXIMUM_PATTERNS).toList()) {
+        for (CrashPattern pattern :
+                crashingParts.patterns().stream().limit(MAXIMUM_PATTERNS).toList()) {
             int count = pattern.crashes().size();
             for (ServerCrash crash :
                     pattern.crashes().subList(Math.max(0, count - CRASHES_PER_PATTERN), count)) {
@@ -271,7 +272,8 @@
         }
         List<CrashNotice> all = new ArrayList<>();
         for (String part : seenParts) {
-            parts.startedMillis(part)
+            crashingParts
+                    .startedMillis(part)
                     .ifPresent(
                             began ->
                                     all.add(
@@ -286,7 +288,7 @@
     @Override
     public JsonElement toJson() {
         boolean keepsRecord =
-                parts.patterns().stream()
+                crashingParts.patterns().stream()
                         .anyMatch(p -> trialRank.applyAsInt(p.parts()) < ENTRIES_WITH_RECORD);
         byte[] encoded = CrashNotice.encode(keepsRecord ? evidence() : List.of());
         JsonObject json = new JsonObject();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
@@ -57,7 +57,7 @@
             new AtomicReference<>(Optional.empty());
     private long refreshes;
 
-    /** Data that an entry adds to its record, and reads from those of all entries. */
+    /** Data that an entry adds to its own record, and merges from the records of all entries. */
     interface Attachment {
         /** Returns the data to write with the next refresh. */
         JsonElement toJson();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -72,6 +72,7 @@
     /** The other entry finds out by refused runs. */
     NOTICE_NOT_DELIVERED(
             4205, Level.INFO, "A notice of a stage change did not reach another entry."),
+    CRASH_NOTICE_NOT_DELIVERED(4206, Level.WARN, "A crash notice did not reach another entry."),
     REQUEST_FAILED(5001, Level.INFO, "A request ended with an error."),
     REQUEST_RETRIED(5002, Level.INFO, "A request is retried with another attempt."),
     CALLER_GONE(5003, Level.INFO, "The caller disconnected; its request is cancelled."),
@@ -95,7 +96,6 @@
             "A request was refused, since prompts with these parts crash servers."),
     CRASH_PATTERN_TRIAL(
             5014, Level.WARN, "A request may run to find out whether its prompt still crashes."),
-    CRASH_NOTICE_NOT_DELIVERED(4206, Level.WARN, "A crash notice did not reach another entry."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
