Keep the handed-on evidence in step with expiry, and simplify eviction

Evidence that other entries fetch was renewed by crashes and answers only, so that it would outlive the pattern; and the eviction of crashes was a loop that a reader has to puzzle out.

Change: the check for expired crashes renews the evidence. Eviction uses an iterator, and its comment says why crashes of a pattern stay.

Measured: CrashingPartsTest and CrashNoticeTest pass.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -105,10 +105,12 @@
     }
 
     void start() {
-        context.timer()
-                .every(
-                        EXPIRY_PERIOD_MILLIS,
-                        () -> context.runOnLoop(() -> crashingParts.expire(nowMillis())));
+        context.timer().every(EXPIRY_PERIOD_MILLIS, () -> context.runOnLoop(this::removeExpired));
+    }
+
+    private void removeExpired() {
+        crashingParts.expire(nowMillis());
+        updateEvidence();
     }
 
     /**
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingParts.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingParts.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -200,8 +201,10 @@
     }
 
     /**
-     * Removes old crashes, those of a pattern all at once, since a pattern of a part of them could
-     * match other requests.
+     * Removes old crashes, and the oldest ones beyond the maximum number.
+     *
+     * <p>Those of a pattern stay as long as the last of them, since the pattern of fewer crashes
+     * could have more parts and match fewer requests.
      */
     private void removeOldCrashes(long nowMillis) {
         Set<ServerCrash> explained = new HashSet<>();
@@ -214,11 +217,11 @@
                 crash ->
                         !explained.contains(crash)
                                 && nowMillis - crash.crashedMillis() > RETENTION_MILLIS);
-        for (int i = 0; crashes.size() > MAXIMUM_CRASHES && i < crashes.size(); ) {
-            if (explained.contains(crashes.get(i))) {
-                i++;
-            } else {
-                crashes.remove(i);
+        // Evicts crashes that nothing explains first, the oldest ones before others.
+        Iterator<ServerCrash> iterator = crashes.iterator();
+        while (crashes.size() > MAXIMUM_CRASHES && iterator.hasNext()) {
+            if (!explained.contains(iterator.next())) {
+                iterator.remove();
             }
         }
         while (crashes.size() > MAXIMUM_CRASHES) {
