--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
@@ -9,6 +9,7 @@
  * A caller's request with its complete body.
  *
  * @param id the id that the caller gave this attempt
+ * @param callerAddress the IP address that the request came from
  * @param method the HTTP method
  * @param target the path and query, as sent
  * @param headers the end-to-end headers
@@ -22,6 +23,7 @@
  */
 record CallerRequest(
         String id,
+        String callerAddress,
         String method,
         String target,
         HttpFields headers,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -139,6 +139,7 @@
         CallerRequest callerRequest =
                 new CallerRequest(
                         pending.requestId().get(),
+                        Request.getRemoteAddr(request),
                         request.getMethod(),
                         request.getHttpURI().getPathQuery(),
                         HopByHopHeaders.removeFromRequestKeepingHost(request.getHeaders()),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -45,6 +45,8 @@
                 Field.of("server", call.server().id()),
                 Field.of("outcome", outcome.name()),
                 Field.of("detail", detail),
+                Field.of("caller", request.callerAddress()),
+                Field.of("fingerprint", RequestFingerprint.of(request).content()),
                 Field.of("promptParts", request.attributes().promptParts().ids()),
                 Field.of("tookMillis", call.elapsedMillis()),
                 Field.of("serversRevision", servers.revision()),
