Send streams without token counts to no prefill server

Cause: a streamed request without token counts to a model service was sent to any of its servers. A prefill server answers 421 to it, and a route with one attempt has no other left.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -96,7 +96,7 @@
     final Optional<DirectServer> chooseServer(ServerSelector selector) {
         Optional<DirectServer> server =
                 selector.choose(
-                        context.view().servers().forService(request.service().name()),
+                        context.view().servers().decodeCapable(request.service().name()),
                         tried,
                         context.timer().nowMillis());
         if (server.isPresent()) {
