--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
@@ -86,6 +86,14 @@
      */
     ControlCall newReadStateCall();
 
+    /**
+     * Builds the health check of a plain server.
+     *
+     * @param path the path of the service's health checks
+     * @return the call
+     */
+    ControlCall newHealthCheckCall(String path);
+
     /**
      * Parses the response to {@link #newReadStateCall}.
      *
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -50,6 +50,7 @@
     private String detail = "";
     private boolean forwarding;
     private boolean ended;
+    private boolean connectionLost;
     private long discardedBytes;
     private Optional<Subscription> responseTimer = Optional.empty();
 
@@ -127,6 +128,11 @@
         return server;
     }
 
+    /** Returns whether the attempt ended because the server, or a path to it, closed or reset. */
+    boolean isConnectionLost() {
+        return connectionLost;
+    }
+
     long elapsedMillis() {
         return context.timer().nowMillis() - startedMillis;
     }
@@ -191,7 +197,12 @@
 
     @Override
     public void onFailure(RequestFailure failure) {
-        context.runOnLoop(() -> end(outcomeOf(failure), failure.message()));
+        context.runOnLoop(
+                () -> {
+                    CallOutcome failed = outcomeOf(failure);
+                    connectionLost = !ended && failed == CallOutcome.BROKEN;
+                    end(failed, failure.message());
+                });
     }
 
     @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
@@ -34,8 +34,9 @@
             DirectContext context,
             CallerRequest request,
             CallerStream caller,
+            CrashTracker crashTracker,
             ServerSelector selector) {
-        super(context, request, caller);
+        super(context, request, caller, crashTracker);
         this.selector = selector;
     }
 
@@ -74,7 +75,7 @@
 
     private void onAttemptEnd(Attempt attempt, CallOutcome outcome, String detail) {
         current = Optional.empty();
-        recordAttemptEnd(attempt.call.server(), outcome);
+        recordAttemptEnd(attempt.call, outcome, attempt.status != 0);
         if (isFinished()) {
             return;
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
@@ -1,16 +1,20 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import dev.foxtailshed.daemon.hosting.ServerProtocol;
+import dev.foxtailshed.daemon.hosting.ServerProtocol.ControlCall;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
-import dev.foxtailshed.kernel.direct.PromptParts;
+import dev.foxtailshed.kernel.direct.DirectService;
+import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
- * Finds out whether a model server has crashed when it breaks off requests that it had not begun to
+ * Finds out whether a server has crashed when it breaks off requests that it had not begun to
  * answer.
  *
  * <p>A server that refuses connections right afterwards, or has been replaced at its address, has
@@ -25,12 +29,12 @@
     private final DirectContext context;
     private final EngineControlClient controlClient;
     private final Listener listener;
-    private final Map<Incarnation, List<PromptParts>> promptsByServer = new HashMap<>();
+    private final Map<Incarnation, List<RequestTraits>> requestsByServer = new HashMap<>();
 
     /** Receives the crashes. */
     interface Listener {
-        /** Called when a server has crashed, with the prompts that it had not begun to answer. */
-        void onCrash(DirectServer server, long crashedMillis, List<PromptParts> prompts);
+        /** Called when a server has crashed, with the requests that it had not begun to answer. */
+        void onCrash(DirectServer server, long crashedMillis, List<RequestTraits> requests);
     }
 
     CrashDetector(DirectContext context, EngineControlClient controlClient, Listener listener) {
@@ -39,14 +43,14 @@
         this.listener = listener;
     }
 
-    /** Records that a server broke off a request before its first event. */
-    void recordBrokenStart(DirectServer server, PromptParts prompt) {
-        List<PromptParts> known = promptsByServer.get(server.incarnation());
+    /** Records that a server broke off a request before it began to answer it. */
+    void recordBrokenStart(DirectServer server, RequestTraits request) {
+        List<RequestTraits> known = requestsByServer.get(server.incarnation());
         if (known != null) {
-            known.add(prompt);
+            known.add(request);
             return;
         }
-        promptsByServer.put(server.incarnation(), new ArrayList<>(List.of(prompt)));
+        requestsByServer.put(server.incarnation(), new ArrayList<>(List.of(request)));
         scheduleCall(server, context.timer().nowMillis(), 0);
     }
 
@@ -56,10 +60,21 @@
                 () ->
                         controlClient.send(
                                 server,
-                                context.platform().serverProtocol().newReadStateCall(),
+                                newLivenessCall(server),
                                 reply -> onReply(server, brokenMillis, call, reply)));
     }
 
+    private ControlCall newLivenessCall(DirectServer server) {
+        Optional<DirectService> service =
+                context.view().routes().flatMap(routes -> routes.service(server.service()));
+        ServerProtocol protocol = context.platform().serverProtocol();
+        // A model server reports its state at once; a plain one has only its health check.
+        return service.filter(plain -> plain.engine().isEmpty())
+                .flatMap(DirectService::healthCheckPath)
+                .map(protocol::newHealthCheckCall)
+                .orElseGet(protocol::newReadStateCall);
+    }
+
     private void onReply(
             DirectServer server, long brokenMillis, int call, EngineControlClient.Reply reply) {
         boolean crashed = reply.unsent() || isFromAnotherServer(reply);
@@ -68,9 +83,9 @@
             scheduleCall(server, brokenMillis, call + 1);
             return;
         }
-        List<PromptParts> prompts = promptsByServer.remove(server.incarnation());
+        List<RequestTraits> requests = requestsByServer.remove(server.incarnation());
         if (crashed) {
-            listener.onCrash(server, brokenMillis, prompts);
+            listener.onCrash(server, brokenMillis, requests);
         }
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -6,9 +6,10 @@
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.kernel.direct.DirectServer;
-import dev.foxtailshed.kernel.direct.PromptParts;
 import dev.foxtailshed.kernel.suspects.CrashPattern;
-import dev.foxtailshed.kernel.suspects.CrashingParts;
+import dev.foxtailshed.kernel.suspects.CrashingTraits;
+import dev.foxtailshed.kernel.suspects.RequestTrait;
+import dev.foxtailshed.kernel.suspects.RequestTraits;
 import dev.foxtailshed.kernel.suspects.ServerCrash;
 import java.time.Clock;
 import java.util.ArrayList;
@@ -22,7 +23,7 @@
 import java.util.function.ToIntFunction;
 
 /**
- * Keeps requests whose prompts crash model servers away from them, together with the other entries.
+ * Keeps requests that crash servers away from them, together with the other entries.
  *
  * <p>Crashes and their refutations are sent to the other entries at once. The evidence of the
  * patterns in force is handed to entries that ask for it, and is in the membership records of a few
@@ -31,15 +32,15 @@
 final class CrashGuard implements CrashDetector.Listener, EntryMembership.Attachment {
 
     /**
-     * Longest time until other entries are told that parts are no longer suspected; enough that one
-     * of them does so first.
+     * Longest time until other entries are told that traits are no longer suspected; enough that
+     * one of them does so first.
      */
     private static final long MAXIMUM_ANNOUNCE_DELAY_MILLIS = 200;
 
     /** Crashes that suffice for another entry to find a pattern. */
     private static final int CRASHES_PER_PATTERN = 4;
 
-    private static final int PROMPTS_PER_CRASH = 2;
+    private static final int REQUESTS_PER_CRASH = 2;
     private static final int MAXIMUM_PATTERNS = 8;
 
     /**
@@ -54,7 +55,7 @@
     private static final long EXPIRY_PERIOD_MILLIS = 10_000;
     private static final String WRITTEN_EPOCH_MILLIS = "writtenEpochMillis";
     private static final String NOTICES = "notices";
-    private static final String PARTS_FIELD = "parts";
+    private static final String TRAITS_FIELD = "traits";
     private static final String CRASHES_FIELD = "crashes";
 
     private final DirectContext context;
@@ -62,10 +63,10 @@
     private final Consumer<CrashNotice> notices;
     private final ToIntFunction<Set<String>> trialRank;
     private final CrashDetector detector;
-    private final CrashingParts crashingParts = new CrashingParts();
+    private final CrashingTraits crashingTraits = new CrashingTraits();
 
-    /** Cleared parts that the other entries have not been told of. */
-    private final List<Set<String>> unannounced = new ArrayList<>();
+    /** Cleared traits that the other entries have not been told of. */
+    private final List<Set<RequestTrait>> unannounced = new ArrayList<>();
 
     private volatile Evidence evidence = new Evidence(List.of(), 0);
 
@@ -76,7 +77,7 @@
      * @param controlClient calls servers that may have crashed
      * @param clock the time of day, for the age of membership records
      * @param notices sends notices to the other entries
-     * @param trialRank the rank of this entry for the trial of a pattern with these parts
+     * @param trialRank the rank of this entry for the trial of a pattern with these labels
      */
     CrashGuard(
             DirectContext context,
@@ -94,7 +95,7 @@
     /** Notices that let another entry find the patterns in force, with the time of their ages. */
     private record Evidence(List<CrashNotice> notices, long collectedMillis) {}
 
-    /** Whether a request may be sent to a model server. */
+    /** Whether a request may be sent to a server. */
     enum Admission {
         /** The request matches no pattern. */
         ADMITTED,
@@ -109,18 +110,19 @@
     }
 
     private void removeExpired() {
-        crashingParts.expire(nowMillis());
+        crashingTraits.expire(nowMillis());
         updateEvidence();
     }
 
     /**
-     * Decides whether a request may be sent to a model server.
+     * Decides whether a request may be sent to a server.
      *
-     * @param request the request
+     * @param id the id of the request
+     * @param request the traits of the request
      * @param trialMillis when the request was granted a trial, which holds until the next crash
      */
-    Admission admit(CallerRequest request, OptionalLong trialMillis) {
-        List<CrashPattern> matches = crashingParts.findMatches(request.attributes().promptParts());
+    Admission admit(String id, RequestTraits request, OptionalLong trialMillis) {
+        List<CrashPattern> matches = crashingTraits.findMatches(request);
         if (matches.isEmpty()) {
             return Admission.ADMITTED;
         }
@@ -129,78 +131,88 @@
                 trialMillis.isPresent()
                         ? pattern.lastCrashMillis() < trialMillis.getAsLong()
                         : matches.size() == 1
-                                && crashingParts.tryTrial(
+                                && crashingTraits.tryTrial(
                                         pattern,
-                                        trialRank.applyAsInt(pattern.parts()),
+                                        trialRank.applyAsInt(pattern.labels()),
                                         nowMillis());
         if (trial && trialMillis.isPresent()) {
             return Admission.TRIAL;
         }
         EventLog.log(
                 trial ? EventCode.CRASH_PATTERN_TRIAL : EventCode.CRASH_PATTERN_MATCHED,
-                Field.of("request", request.id()),
-                Field.of(PARTS_FIELD, pattern.parts()),
+                Field.of("request", id),
+                Field.of(TRAITS_FIELD, pattern.labels()),
                 Field.of(CRASHES_FIELD, pattern.crashes().size()),
                 Field.of("lastCrashAgeMillis", nowMillis() - pattern.lastCrashMillis()));
         return trial ? Admission.TRIAL : Admission.BLOCKED;
     }
 
     /**
-     * Records the first event of the answer to a request.
+     * Records the beginning of the answer to a request.
      *
-     * <p>If it clears parts of a suspicion, the other entries are told after a short random time,
-     * unless another entry tells them first. So a part that is in many requests is not announced by
+     * <p>If it clears traits of a suspicion, the other entries are told after a short random time,
+     * unless another entry tells them first. So a trait that many requests have is not announced by
      * each entry.
      */
-    void recordStart(CallerRequest request) {
+    void recordStart(RequestTraits request) {
         long beganMillis = nowMillis();
-        Set<String> cleared =
-                new HashSet<>(applyStart(request.attributes().promptParts(), beganMillis));
-        if (cleared.isEmpty()) {
-            return;
+        Set<RequestTrait> cleared = new HashSet<>(applyStart(request.traits(), beganMillis));
+        if (!cleared.isEmpty()) {
+            announceLater(cleared, beganMillis);
         }
+    }
+
+    private void announceLater(Set<RequestTrait> cleared, long beganMillis) {
         unannounced.add(cleared);
         long delayMillis = (long) (MAXIMUM_ANNOUNCE_DELAY_MILLIS * context.random().getAsDouble());
         context.schedule(delayMillis, () -> announce(cleared, beganMillis));
     }
 
-    private void announce(Set<String> cleared, long beganMillis) {
+    private void announce(Set<RequestTrait> cleared, long beganMillis) {
         unannounced.removeIf(other -> other == cleared);
         if (!cleared.isEmpty()) {
-            notices.accept(
-                    new CrashNotice.Began(
-                            new PromptParts(List.copyOf(cleared)), nowMillis() - beganMillis));
+            notices.accept(new CrashNotice.Began(List.copyOf(cleared), nowMillis() - beganMillis));
         }
     }
 
-    /** Records that a server broke off a request before the first event. */
-    void recordBrokenStart(CallerRequest request, DirectServer server) {
-        PromptParts prompt = request.attributes().promptParts();
-        if (!prompt.ids().isEmpty()) {
-            detector.recordBrokenStart(server, prompt);
+    /**
+     * Records that a server broke off a request before it began to answer it.
+     *
+     * <p>A server that is leaving may end like this without a crash, so it blames no request.
+     */
+    void recordBrokenStart(RequestTraits request, DirectServer server) {
+        boolean leaving =
+                context.view().servers().forService(server.service()).stream()
+                        .noneMatch(other -> other.incarnation().equals(server.incarnation()));
+        if (!leaving) {
+            detector.recordBrokenStart(server, request);
         }
     }
 
     @Override
-    public void onCrash(DirectServer server, long crashedMillis, List<PromptParts> prompts) {
+    public void onCrash(DirectServer server, long crashedMillis, List<RequestTraits> requests) {
         long ageMillis = nowMillis() - crashedMillis;
         EventLog.log(
                 EventCode.SERVER_CRASHED,
                 Field.of("server", server.id()),
-                Field.of("prompts", prompts.stream().map(PromptParts::ids).toList()),
+                Field.of("requests", requests.stream().map(CrashGuard::labels).toList()),
                 Field.of("ageMillis", ageMillis));
-        applyCrash(new ServerCrash(server.incarnation(), crashedMillis, prompts));
-        notices.accept(new CrashNotice.Crashed(server.incarnation(), prompts, ageMillis));
+        applyCrash(new ServerCrash(server.incarnation(), crashedMillis, requests));
+        notices.accept(new CrashNotice.Crashed(server.incarnation(), requests, ageMillis));
+    }
+
+    private static List<String> labels(RequestTraits request) {
+        return request.traits().stream().map(RequestTrait::label).toList();
     }
 
     /** Applies a notice of another entry. */
     void onNotice(CrashNotice notice) {
         long observedMillis = nowMillis() - notice.ageMillis();
         if (notice instanceof CrashNotice.Crashed crashed) {
-            applyCrash(new ServerCrash(crashed.server(), observedMillis, crashed.prompts()));
+            applyCrash(new ServerCrash(crashed.server(), observedMillis, crashed.requests()));
         } else if (notice instanceof CrashNotice.Began began) {
-            unannounced.forEach(cleared -> cleared.removeAll(began.parts().ids()));
-            applyStart(began.parts(), observedMillis);
+            unannounced.forEach(cleared -> began.traits().forEach(cleared::remove));
+            applyStart(began.traits(), observedMillis);
         }
     }
 
@@ -213,29 +225,32 @@
 
     /** Returns the number of patterns in force. May be called from any thread. */
     int patternCount() {
-        return crashingParts.patterns().size();
+        return crashingTraits.patterns().size();
     }
 
     private void applyCrash(ServerCrash crash) {
-        for (CrashPattern pattern : crashingParts.recordCrash(crash, nowMillis())) {
+        for (CrashPattern pattern : crashingTraits.recordCrash(crash, nowMillis())) {
             EventLog.log(
                     EventCode.CRASH_PATTERN_FOUND,
-                    Field.of(PARTS_FIELD, pattern.parts()),
+                    Field.of(TRAITS_FIELD, pattern.labels()),
                     Field.of(CRASHES_FIELD, pattern.crashes().size()),
                     Field.of("lastServer", crash.server().id()));
         }
+        crashingTraits
+                .findEarlierAnswers(crash)
+                .forEach((trait, began) -> announceLater(new HashSet<>(Set.of(trait)), began));
         updateEvidence();
     }
 
-    private Set<String> applyStart(PromptParts prompt, long beganMillis) {
-        List<CrashPattern> before = crashingParts.patterns();
-        Set<String> cleared = crashingParts.recordStart(prompt, beganMillis, nowMillis());
+    private Set<RequestTrait> applyStart(List<RequestTrait> traits, long beganMillis) {
+        List<CrashPattern> before = crashingTraits.patterns();
+        Set<RequestTrait> cleared = crashingTraits.recordStart(traits, beganMillis, nowMillis());
         for (CrashPattern pattern : before) {
-            if (pattern.parts().stream().anyMatch(cleared::contains)) {
+            if (pattern.traits().stream().anyMatch(cleared::contains)) {
                 EventLog.log(
                         EventCode.CRASH_PATTERN_REFUTED,
-                        Field.of(PARTS_FIELD, pattern.parts()),
-                        Field.of("began", cleared),
+                        Field.of(TRAITS_FIELD, pattern.labels()),
+                        Field.of("began", cleared.stream().map(RequestTrait::label).toList()),
                         Field.of(CRASHES_FIELD, pattern.crashes().size()));
             }
         }
@@ -246,42 +261,41 @@
     }
 
     /**
-     * Collects the latest crashes of the patterns, and before them the parts that are cleared, so
-     * that another entry blames the same parts.
+     * Collects the latest crashes of the patterns, and before them the traits that are cleared, so
+     * that another entry blames the same traits.
      */
     private void updateEvidence() {
         long nowMillis = nowMillis();
-        Set<String> seenParts = new LinkedHashSet<>();
+        Set<RequestTrait> seenTraits = new LinkedHashSet<>();
         List<CrashNotice> crashes = new ArrayList<>();
         for (CrashPattern pattern :
-                crashingParts.patterns().stream().limit(MAXIMUM_PATTERNS).toList()) {
+                crashingTraits.patterns().stream().limit(MAXIMUM_PATTERNS).toList()) {
             int count = pattern.crashes().size();
             for (ServerCrash crash :
                     pattern.crashes().subList(Math.max(0, count - CRASHES_PER_PATTERN), count)) {
-                List<PromptParts> prompts =
-                        crash.prompts().stream()
+                List<RequestTraits> requests =
+                        crash.requests().stream()
                                 .filter(
-                                        prompt ->
-                                                pattern.parts().stream()
-                                                        .anyMatch(prompt.ids()::contains))
-                                .limit(PROMPTS_PER_CRASH)
+                                        request ->
+                                                request.traits().stream()
+                                                        .anyMatch(pattern.traits()::contains))
+                                .limit(REQUESTS_PER_CRASH)
                                 .toList();
-                prompts.forEach(prompt -> seenParts.addAll(prompt.ids()));
+                requests.forEach(request -> seenTraits.addAll(request.traits()));
                 crashes.add(
                         new CrashNotice.Crashed(
-                                crash.server(), prompts, nowMillis - crash.crashedMillis()));
+                                crash.server(), requests, nowMillis - crash.crashedMillis()));
             }
         }
         List<CrashNotice> all = new ArrayList<>();
-        for (String part : seenParts) {
-            crashingParts
-                    .startedMillis(part)
+        for (RequestTrait trait : seenTraits) {
+            crashingTraits
+                    .startedMillis(trait)
                     .ifPresent(
                             began ->
                                     all.add(
                                             new CrashNotice.Began(
-                                                    new PromptParts(List.of(part)),
-                                                    nowMillis - began)));
+                                                    List.of(trait), nowMillis - began)));
         }
         all.addAll(crashes);
         evidence = new Evidence(List.copyOf(all), nowMillis);
@@ -290,8 +304,8 @@
     @Override
     public JsonElement toJson() {
         boolean keepsRecord =
-                crashingParts.patterns().stream()
-                        .anyMatch(p -> trialRank.applyAsInt(p.parts()) < ENTRIES_WITH_RECORD);
+                crashingTraits.patterns().stream()
+                        .anyMatch(p -> trialRank.applyAsInt(p.labels()) < ENTRIES_WITH_RECORD);
         byte[] encoded = CrashNotice.encode(keepsRecord ? evidence() : List.of());
         JsonObject json = new JsonObject();
         json.addProperty(WRITTEN_EPOCH_MILLIS, clock.millis());
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
@@ -1,7 +1,8 @@
 package dev.foxtailshed.daemon.internal.direct;
 
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
-import dev.foxtailshed.kernel.direct.PromptParts;
+import dev.foxtailshed.kernel.suspects.RequestTrait;
+import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +12,7 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * What an entry tells the others about crashes of model servers.
+ * What an entry tells the others about crashes of servers.
  *
  * <p>Times are sent as ages, since the entries' clocks differ.
  */
@@ -31,27 +32,33 @@
      * A server has crashed.
      *
      * @param server the server
-     * @param prompts the prompts that it had been asked to answer and had not begun to
+     * @param requests the requests that it had been asked to answer and had not begun to
      * @param ageMillis how long ago it crashed
      */
-    record Crashed(Incarnation server, List<PromptParts> prompts, long ageMillis)
+    record Crashed(Incarnation server, List<RequestTraits> requests, long ageMillis)
             implements CrashNotice {
         @Override
         public CrashNotice olderBy(long millis) {
-            return new Crashed(server, prompts, ageMillis + millis);
+            return new Crashed(server, requests, ageMillis + millis);
         }
     }
 
     /**
-     * A server has begun an answer, so the parts of its prompt did not cause an earlier crash.
+     * A server has begun an answer, so the traits of its request did not cause an earlier crash.
      *
-     * @param parts the parts that are no longer suspected
+     * @param traits the traits that are no longer suspected
      * @param ageMillis how long ago it began
      */
-    record Began(PromptParts parts, long ageMillis) implements CrashNotice {
+    record Began(List<RequestTrait> traits, long ageMillis) implements CrashNotice {
+
+        /** Copies the list. */
+        public Began {
+            traits = List.copyOf(traits);
+        }
+
         @Override
         public CrashNotice olderBy(long millis) {
-            return new Began(parts, ageMillis + millis);
+            return new Began(traits, ageMillis + millis);
         }
     }
 
@@ -92,44 +99,44 @@
         if (notice instanceof Crashed crashed) {
             packer.packString(crashed.server().id());
             packer.packLong(crashed.server().startedEpochMillis());
-            packer.packArrayHeader(crashed.prompts().size());
-            for (PromptParts prompt : crashed.prompts()) {
-                packParts(packer, prompt);
+            packer.packArrayHeader(crashed.requests().size());
+            for (RequestTraits request : crashed.requests()) {
+                packTraits(packer, request.traits());
             }
         } else if (notice instanceof Began began) {
             packer.packNil();
-            packParts(packer, began.parts());
+            packTraits(packer, began.traits());
         }
     }
 
     private static CrashNotice unpack(MessageUnpacker unpacker) throws IOException {
         long ageMillis = Math.max(0, unpacker.unpackLong());
         if (unpacker.tryUnpackNil()) {
-            return new Began(unpackParts(unpacker), ageMillis);
+            return new Began(unpackTraits(unpacker), ageMillis);
         }
         Incarnation server = new Incarnation(unpacker.unpackString(), unpacker.unpackLong());
-        List<PromptParts> prompts = new ArrayList<>();
+        List<RequestTraits> requests = new ArrayList<>();
         int count = unpacker.unpackArrayHeader();
         for (int i = 0; i < count; i++) {
-            prompts.add(unpackParts(unpacker));
+            requests.add(new RequestTraits(unpackTraits(unpacker)));
         }
-        return new Crashed(server, prompts, ageMillis);
+        return new Crashed(server, requests, ageMillis);
     }
 
-    private static void packParts(MessageBufferPacker packer, PromptParts parts)
+    private static void packTraits(MessageBufferPacker packer, List<RequestTrait> traits)
             throws IOException {
-        packer.packArrayHeader(parts.ids().size());
-        for (String id : parts.ids()) {
-            packer.packString(id);
+        packer.packArrayHeader(traits.size());
+        for (RequestTrait trait : traits) {
+            packer.packString(trait.label());
         }
     }
 
-    private static PromptParts unpackParts(MessageUnpacker unpacker) throws IOException {
-        List<String> ids = new ArrayList<>();
+    private static List<RequestTrait> unpackTraits(MessageUnpacker unpacker) throws IOException {
+        List<RequestTrait> traits = new ArrayList<>();
         int count = unpacker.unpackArrayHeader();
         for (int i = 0; i < count; i++) {
-            ids.add(unpacker.unpackString());
+            traits.add(RequestTrait.parse(unpacker.unpackString()));
         }
-        return new PromptParts(ids);
+        return traits;
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -135,7 +135,12 @@
         DirectService service =
                 matched.routes()
                         .service(name)
-                        .orElse(new DirectService(name, Integer.MAX_VALUE, Optional.empty()));
+                        .orElse(
+                                new DirectService(
+                                        name,
+                                        Integer.MAX_VALUE,
+                                        Optional.empty(),
+                                        Optional.empty()));
         CallerRequest callerRequest =
                 new CallerRequest(
                         pending.requestId().get(),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -265,9 +265,9 @@
         }
     }
 
-    private int trialRank(Set<String> parts) {
+    private int trialRank(Set<String> labels) {
         return TrialOrder.rank(
-                parts,
+                labels,
                 SettingParsers.text(settings.get().controlAddress()),
                 membership.otherAddresses().stream().map(SettingParsers::text).toList());
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -39,16 +39,22 @@
     final DirectContext context;
     final CallerRequest request;
     private final CallerStream caller;
+    private final CrashTracker crashTracker;
     private final Set<Incarnation> tried = new HashSet<>();
     private Verdict verdict = Verdict.NOT_RUN;
     private int attempts;
     private boolean finished;
     private Optional<Subscription> deadlineTimer = Optional.empty();
 
-    DirectFlow(DirectContext context, CallerRequest request, CallerStream caller) {
+    DirectFlow(
+            DirectContext context,
+            CallerRequest request,
+            CallerStream caller,
+            CrashTracker crashTracker) {
         this.context = context;
         this.request = request;
         this.caller = caller;
+        this.crashTracker = crashTracker;
     }
 
     /** Starts processing and the deadline timer. */
@@ -94,6 +100,9 @@
 
     /** Chooses the server for the next attempt; fails the request if there is none. */
     final Optional<DirectServer> chooseServer(ServerSelector selector) {
+        if (failIfBlocked()) {
+            return Optional.empty();
+        }
         Optional<DirectServer> server =
                 selector.choose(
                         context.view().servers().decodeCapable(request.service().name()),
@@ -113,15 +122,49 @@
         attempts++;
     }
 
-    /** Records the outcome of an attempt. */
-    final void recordAttemptEnd(DirectServer server, CallOutcome outcome) {
+    /**
+     * Records the outcome of an attempt.
+     *
+     * @param call the attempt
+     * @param outcome the outcome
+     * @param begun whether the server had begun to answer
+     */
+    final void recordAttemptEnd(BackendCall call, CallOutcome outcome, boolean begun) {
         verdict = verdict.or(outcome.verdict());
+        if (outcome == CallOutcome.ANSWERED) {
+            recordAnswer();
+        } else if (!begun) {
+            recordBrokenStart(call);
+        }
         if (outcome == CallOutcome.UNREACHABLE) {
             // Nothing was sent, so the server does not count as one that got the request.
             attempts--;
         }
     }
 
+    /** Records that a server has begun to answer, so that the request does not crash servers. */
+    final void recordAnswer() {
+        crashTracker.recordAnswer();
+    }
+
+    /** Records a call that ended before an answer began, in case its server has crashed. */
+    final void recordBrokenStart(BackendCall call) {
+        if (call.isConnectionLost()) {
+            crashTracker.recordBrokenStart(call.server());
+        }
+    }
+
+    /** Fails the request if it crashes servers, which may have become known meanwhile. */
+    final boolean failIfBlocked() {
+        boolean blocked = crashTracker.isBlocked();
+        if (blocked) {
+            fail(
+                    FailureAction.createBlockedFailure(
+                            verdict, "servers crash when they begin to answer this request"));
+        }
+        return blocked;
+    }
+
     /** Decides how to proceed after a failed attempt, within the retry budget. */
     final FailureAction chooseAction(CallOutcome outcome) {
         int serversLeft = remainingMillis() > RESPONSE_MARGIN_MILLIS ? remainingServers() : 0;
@@ -211,11 +254,6 @@
         fail(message, false, retryDelayMillis());
     }
 
-    /** Fails a request that must not reach a server. */
-    final void failBlocked(String message) {
-        fail(FailureAction.createBlockedFailure(verdict, message));
-    }
-
     final long retryDelayMillis() {
         return RETRY_DELAY_MILLIS + (long) (RETRY_DELAY_MILLIS * context.random().getAsDouble());
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
@@ -70,16 +70,17 @@
     @Override
     public DirectFlow create(CallerRequest request, CallerStream caller) {
         lastRequestMillis = context.timer().nowMillis();
+        CrashTracker crashTracker = new CrashTracker(crashGuard, context.timer(), request);
         if (!request.route().repeatability().isStream()) {
-            return new BufferedFlow(context, request, caller, selector);
+            return new BufferedFlow(context, request, caller, crashTracker, selector);
         }
         Optional<TokenCounts> demand = request.attributes().tokenCounts();
         if (request.service().engine().isPresent() && demand.isPresent()) {
             ModelService model = modelService(request.service().name());
             model.recordArrival(demand.get());
-            return new ModelFlow(context, request, caller, model, demand.get(), crashGuard);
+            return new ModelFlow(context, request, caller, crashTracker, model, demand.get());
         }
-        return new PlainStreamFlow(context, request, caller, selector);
+        return new PlainStreamFlow(context, request, caller, crashTracker, selector);
     }
 
     /** Returns the shared state of the requests to a model service. */
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -36,7 +36,6 @@
 
     private final ModelService service;
     private final TokenCounts tokenCounts;
-    private final CrashGuard crashGuard;
     private final EventStreamSplitter splitter;
     private Optional<Waiter<ModelFlow>> waiter = Optional.empty();
     private Optional<Reservation> reservation = Optional.empty();
@@ -48,7 +47,6 @@
     private int prefillAttempts;
     private boolean resuming;
     private boolean reservationUsed;
-    private OptionalLong crashTrialMillis = OptionalLong.empty();
     private long reservedAtMillis;
     private long prefillSentAtMillis;
     private long prefilledAtMillis;
@@ -58,13 +56,12 @@
             DirectContext context,
             CallerRequest request,
             CallerStream caller,
+            CrashTracker crashTracker,
             ModelService service,
-            TokenCounts tokenCounts,
-            CrashGuard crashGuard) {
-        super(context, request, caller);
+            TokenCounts tokenCounts) {
+        super(context, request, caller, crashTracker);
         this.service = service;
         this.tokenCounts = tokenCounts;
-        this.crashGuard = crashGuard;
         this.splitter = new EventStreamSplitter(newEventSequence());
     }
 
@@ -150,19 +147,6 @@
         fail(message, false, service.retryAfterMillis(remainingMillis()));
     }
 
-    /** Fails the request if its prompt crashes servers, which may have become known meanwhile. */
-    private boolean failIfBlocked() {
-        CrashGuard.Admission admission = crashGuard.admit(request, crashTrialMillis);
-        if (admission == CrashGuard.Admission.TRIAL && crashTrialMillis.isEmpty()) {
-            crashTrialMillis = OptionalLong.of(context.timer().nowMillis());
-        }
-        if (admission != CrashGuard.Admission.BLOCKED) {
-            return false;
-        }
-        failBlocked("model servers crash when they begin to answer this prompt");
-        return true;
-    }
-
     private void startPrefill() {
         if (failIfBlocked()) {
             return;
@@ -255,7 +239,7 @@
                 prompt -> service.prefillSelector().recordUsedHandle(prompt.server()));
         cachedPrompt = Optional.empty();
         if (HttpStatus.isSuccess(current.status())) {
-            crashGuard.recordStart(request);
+            recordAnswer();
         }
         service.reservations().recordRunStart(current.server());
         context.recorder()
@@ -274,11 +258,8 @@
     @Override
     public void onEnd(StreamRelay current, CallOutcome outcome, String detail) {
         relay = Optional.empty();
-        recordAttemptEnd(current.server(), outcome);
+        recordAttemptEnd(current.call(), outcome, splitter.hasEvents());
         reservationUsed = outcome != CallOutcome.REFUSED && outcome != CallOutcome.UNREACHABLE;
-        if (outcome == CallOutcome.BROKEN && !splitter.hasEvents()) {
-            crashGuard.recordBrokenStart(request, current.server());
-        }
         if (isFinished()) {
             return;
         }
@@ -392,6 +373,7 @@
                                     .serverProtocol()
                                     .parseCacheHandle(body.toByteArray())
                             : Optional.empty();
+            recordBrokenStart(call);
             onPrefillEnd(server, handle, outcome);
         }
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
@@ -7,6 +7,7 @@
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** A request with a streamed response to a service without model servers. */
 final class PlainStreamFlow extends DirectFlow implements StreamRelay.Listener {
@@ -19,8 +20,9 @@
             DirectContext context,
             CallerRequest request,
             CallerStream caller,
+            CrashTracker crashTracker,
             ServerSelector selector) {
-        super(context, request, caller);
+        super(context, request, caller, crashTracker);
         this.selector = selector;
         this.splitter = new EventStreamSplitter(newEventSequence());
     }
@@ -49,13 +51,15 @@
 
     @Override
     public void onFirstEvent(StreamRelay relay) {
-        // Only model flows act on the first event.
+        if (HttpStatus.isSuccess(relay.status())) {
+            recordAnswer();
+        }
     }
 
     @Override
     public void onEnd(StreamRelay relay, CallOutcome outcome, String detail) {
         current = Optional.empty();
-        recordAttemptEnd(relay.server(), outcome);
+        recordAttemptEnd(relay.call(), outcome, splitter.hasEvents());
         if (isFinished()) {
             return;
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/RequestFingerprint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/RequestFingerprint.java
@@ -5,7 +5,6 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
-import org.eclipse.jetty.http.HttpHeader;
 
 /**
  * Digests by which a request is recognized when it comes again under another id.
@@ -20,7 +19,8 @@
 
     /** Computes the digests of a request. */
     static RequestFingerprint of(CallerRequest request) {
-        String host = String.valueOf(request.headers().get(HttpHeader.HOST));
+        // Without the port, which differs between the entries of a host without a load balancer.
+        String host = request.route().host();
         String content = digest(List.of(request.method(), host, request.target()), request.body());
         return new RequestFingerprint(
                 content, digest(List.of(request.callerAddress(), content), new byte[0]));
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -104,6 +104,10 @@
         call.cancel();
     }
 
+    BackendCall call() {
+        return call;
+    }
+
     DirectServer server() {
         return call.server();
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -83,19 +83,19 @@
     SERVER_CRASHED(
             5015,
             Level.WARN,
-            "A model server crashed before it began to answer the prompts with these parts."),
+            "A server crashed before it began to answer the requests with these traits."),
     CRASH_PATTERN_FOUND(
-            5011, Level.WARN, "Prompts with all these parts are kept away from model servers."),
+            5011, Level.WARN, "Requests with all these traits are kept away from servers."),
     CRASH_PATTERN_REFUTED(
             5012,
             Level.INFO,
-            "An answer to a prompt with one of these parts has begun; it is no longer suspected."),
+            "An answer to a request with one of these traits has begun; it is not suspected."),
     CRASH_PATTERN_MATCHED(
             5013,
             Level.INFO,
-            "A request was refused, since prompts with these parts crash servers."),
+            "A request was refused, since requests with these traits crash servers."),
     CRASH_PATTERN_TRIAL(
-            5014, Level.WARN, "A request may run to find out whether its prompt still crashes."),
+            5014, Level.WARN, "A request may run to find out whether it still crashes servers."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
@@ -5,6 +5,7 @@
 
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.PromptParts;
+import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
@@ -20,10 +21,14 @@
         return Stream.of(
                 new CrashNotice.Crashed(
                         SERVER,
-                        List.of(new PromptParts(List.of("a", "b")), new PromptParts(List.of("c"))),
+                        List.of(
+                                RequestTraits.of(PromptParts.NONE, "d1", "d2"),
+                                RequestTraits.ofPrompt(new PromptParts(List.of("c")))),
                         7),
                 new CrashNotice.Crashed(SERVER, List.of(), 0),
-                new CrashNotice.Began(new PromptParts(List.of("a", "b")), 3));
+                new CrashNotice.Began(
+                        RequestTraits.of(new PromptParts(List.of("a", "b")), "d1", "d2").traits(),
+                        3));
     }
 
     @ParameterizedTest
--- a/kernel/src/main/java/dev/foxtailshed/kernel/ErrorCode.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/ErrorCode.java
@@ -20,8 +20,8 @@
     OVERLOADED("overloaded", 429),
     /** The request crashed the backend servers that ran it. */
     SUSPECT_REFUSED("suspect_refused", 422),
-    /** A part of the request's prompt crashes the model servers that begin to answer it. */
-    PROMPT_BLOCKED("prompt_blocked", 503),
+    /** The request, or a part of its prompt, crashes the servers that begin to answer it. */
+    REQUEST_BLOCKED("request_blocked", 503),
     /** No backend server is reachable. */
     NO_SERVER("no_server", 503),
     /** No manifest is in force at this instance. */
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectService.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectService.java
@@ -8,6 +8,11 @@
  * @param name the service's name
  * @param maximumConnections the maximum number of connections to one server, from all entries
  *     together
+ * @param healthCheckPath the path of the health checks of its servers
  * @param engine the specification of the service's model servers; empty for plain services
  */
-public record DirectService(String name, int maximumConnections, Optional<EngineSpec> engine) {}
+public record DirectService(
+        String name,
+        int maximumConnections,
+        Optional<String> healthCheckPath,
+        Optional<EngineSpec> engine) {}
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/FailureAction.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/FailureAction.java
@@ -70,7 +70,7 @@
      */
     public static RequestFailure createBlockedFailure(Verdict verdict, String message) {
         return verdict == Verdict.NOT_RUN
-                ? RequestFailure.notRun(ErrorCode.PROMPT_BLOCKED, message)
+                ? RequestFailure.notRun(ErrorCode.REQUEST_BLOCKED, message)
                 : RequestFailure.of(Verdict.MAY_HAVE_RUN, ErrorCode.BACKEND_CRASHED, message);
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
@@ -1,6 +1,6 @@
 package dev.foxtailshed.kernel.suspects;
 
-import dev.foxtailshed.kernel.direct.PromptParts;
+import dev.foxtailshed.kernel.suspects.RequestTrait.Kind;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collections;
@@ -14,43 +14,48 @@
 import java.util.function.BiPredicate;
 
 /**
- * Finds the parts of prompts that explain repeated crashes of model servers. Stateless.
+ * Finds the traits of requests that explain repeated crashes of servers. Stateless.
  *
- * <p>A crash breaks all streams of a server, and several requests may be about to begin there, most
- * of them harmless. The part that is common to the most crashes explains them; the other crashes
- * are then examined without them, so that harmless requests which were retried from one crashing
- * server at the next are not blamed, and a second harmful part is found.
+ * <p>A crash breaks all requests of a server, and several may be about to begin there, most of them
+ * harmless. The trait that is common to the most crashes explains them; the other crashes are then
+ * examined without them, so that harmless requests which were retried from one crashing server at
+ * the next are not blamed, and a second harmful trait is found.
  */
 final class CrashPatternFinder {
 
-    /** Separate crashes after which a part between the first and the last explains them. */
-    private static final int CRASHES_FOR_INNER_PART = 2;
+    /**
+     * Separate crashes after which a request that its caller sends again, or a part of prompts
+     * between the first and the last, explains them.
+     */
+    private static final int CRASHES_FOR_DISTINCTIVE_TRAIT = 2;
 
     /**
-     * Separate crashes after which the first or the last part explains them. All requests of a
-     * route may have the same first part, and a last part is in few prompts, so that a coincidence
-     * is not refuted by another request.
+     * Separate crashes after which another trait explains them. All requests of a route may have
+     * the same content or the same first part, and a last part is in few prompts, so that a
+     * coincidence is not refuted by another request.
      */
-    private static final int CRASHES_FOR_OUTER_PART = 3;
+    private static final int CRASHES_FOR_SHARED_TRAIT = 3;
 
     /**
      * Crashes within this time count once, since servers that are lost together, as with their
-     * availability zone, have a common cause outside of the prompts. Not if the same prompt is in
+     * availability zone, have a common cause outside of the prompts. Not if the same request is in
      * both, as it was sent to the second server after the first had crashed.
      */
     private static final long COMMON_CAUSE_MILLIS = 200;
 
     private CrashPatternFinder() {}
 
-    /** The crashes in which a part is suspected, as indices into the list of crashes. */
+    /** The crashes in which a trait is suspected, as indices into the list of crashes. */
     private static final class Evidence {
         private final BitSet crashes = new BitSet();
-        private boolean inner;
+        private boolean outerPart = true;
+        private boolean distinctive;
         private boolean known;
         private int separateCrashes;
 
         boolean isSufficient() {
-            return separateCrashes >= (inner ? CRASHES_FOR_INNER_PART : CRASHES_FOR_OUTER_PART);
+            return separateCrashes
+                    >= (distinctive ? CRASHES_FOR_DISTINCTIVE_TRAIT : CRASHES_FOR_SHARED_TRAIT);
         }
 
         boolean includes(Evidence other) {
@@ -73,11 +78,11 @@
 
         private static boolean areSeparate(ServerCrash first, ServerCrash second) {
             return second.crashedMillis() - first.crashedMillis() > COMMON_CAUSE_MILLIS
-                    || !Collections.disjoint(first.prompts(), second.prompts());
+                    || !Collections.disjoint(first.requests(), second.requests());
         }
 
         private static Comparator<Evidence> byWeight() {
-            return Comparator.<Evidence, Boolean>comparing(evidence -> evidence.inner)
+            return Comparator.<Evidence, Boolean>comparing(evidence -> !evidence.outerPart)
                     .thenComparing(evidence -> evidence.separateCrashes)
                     .thenComparing(evidence -> evidence.known);
         }
@@ -87,19 +92,19 @@
      * Returns the patterns that explain the crashes.
      *
      * @param crashes the crashes, oldest first
-     * @param suspected whether a part may have caused a crash
-     * @param known the parts of the patterns in force; preferred if others explain as much
+     * @param suspected whether a trait may have caused a crash
+     * @param known the traits of the patterns in force; preferred if others explain as much
      * @return the patterns
      */
     static List<CrashPattern> find(
             List<ServerCrash> crashes,
-            BiPredicate<String, ServerCrash> suspected,
-            Set<String> known) {
+            BiPredicate<RequestTrait, ServerCrash> suspected,
+            Set<RequestTrait> known) {
         BitSet unexplained = new BitSet();
         unexplained.set(0, crashes.size());
         List<CrashPattern> patterns = new ArrayList<>();
         while (true) {
-            Map<String, Evidence> evidence = collect(crashes, unexplained, suspected, known);
+            Map<RequestTrait, Evidence> evidence = collect(crashes, unexplained, suspected, known);
             Optional<Evidence> best =
                     evidence.values().stream()
                             .filter(Evidence::isSufficient)
@@ -107,43 +112,44 @@
             if (best.isEmpty()) {
                 return patterns;
             }
-            Set<String> parts = new LinkedHashSet<>();
+            Set<RequestTrait> traits = new LinkedHashSet<>();
             evidence.forEach(
-                    (part, other) -> {
+                    (trait, other) -> {
                         if (other.includes(best.get())) {
-                            parts.add(part);
+                            traits.add(trait);
                         }
                     });
             BitSet explained = best.get().crashes;
             patterns.add(
-                    new CrashPattern(parts, explained.stream().mapToObj(crashes::get).toList()));
+                    new CrashPattern(traits, explained.stream().mapToObj(crashes::get).toList()));
             unexplained.andNot(explained);
         }
     }
 
-    private static Map<String, Evidence> collect(
+    private static Map<RequestTrait, Evidence> collect(
             List<ServerCrash> crashes,
             BitSet unexplained,
-            BiPredicate<String, ServerCrash> suspected,
-            Set<String> known) {
+            BiPredicate<RequestTrait, ServerCrash> suspected,
+            Set<RequestTrait> known) {
         // Sorted, so that all entries find the same patterns from the same crashes.
-        Map<String, Evidence> evidence = new TreeMap<>();
+        Map<RequestTrait, Evidence> evidence = new TreeMap<>();
         for (int i = unexplained.nextSetBit(0); i >= 0; i = unexplained.nextSetBit(i + 1)) {
-            for (PromptParts prompt : crashes.get(i).prompts()) {
-                int last = prompt.ids().size() - 1;
-                for (int position = 0; position <= last; position++) {
-                    String part = prompt.ids().get(position);
-                    if (suspected.test(part, crashes.get(i))) {
-                        Evidence found = evidence.computeIfAbsent(part, unused -> new Evidence());
+            for (RequestTraits request : crashes.get(i).requests()) {
+                for (int index = 0; index < request.traits().size(); index++) {
+                    RequestTrait trait = request.traits().get(index);
+                    if (suspected.test(trait, crashes.get(i))) {
+                        Evidence found = evidence.computeIfAbsent(trait, unused -> new Evidence());
                         found.crashes.set(i);
-                        found.inner |= position > 0 && position < last;
+                        boolean outerPart = request.isOuterPart(index);
+                        found.outerPart &= outerPart;
+                        found.distinctive |= !outerPart && trait.kind() != Kind.CONTENT;
                     }
                 }
             }
         }
         evidence.forEach(
-                (part, found) -> {
-                    found.known = known.contains(part);
+                (trait, found) -> {
+                    found.known = known.contains(trait);
                     found.countSeparate(crashes);
                 });
         return evidence;
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/TrialOrder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/TrialOrder.java
@@ -16,19 +16,19 @@
     /**
      * Returns the rank of an entry for a pattern.
      *
-     * @param parts the parts of the pattern
+     * @param labels the labels of the pattern's traits
      * @param self the address of the entry
      * @param others the addresses of the other live entries
      * @return the number of entries that come before it
      */
-    public static int rank(Set<String> parts, String self, Collection<String> others) {
-        long own = weight(parts, self);
-        return (int) others.stream().filter(other -> weight(parts, other) > own).count();
+    public static int rank(Set<String> labels, String self, Collection<String> others) {
+        long own = weight(labels, self);
+        return (int) others.stream().filter(other -> weight(labels, other) > own).count();
     }
 
-    private static long weight(Set<String> parts, String entry) {
+    private static long weight(Set<String> labels, String entry) {
         // The finalizer of SplitMix64; the hash of a set does not depend on its order.
-        long hash = ((long) parts.hashCode() << Integer.SIZE) ^ entry.hashCode();
+        long hash = ((long) labels.hashCode() << Integer.SIZE) ^ entry.hashCode();
         hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
         hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
         return hash ^ (hash >>> 31);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingPartsTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingTraitsTest.java
@@ -12,31 +12,39 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Tests which parts of prompts are blamed for crashes, and when the blame ends. */
-class CrashingPartsTest {
+/** Tests which traits of requests are blamed for crashes, and when the blame ends. */
+class CrashingTraitsTest {
 
     private static final String DEADLY = "deadly";
     private static final long HOUR_MILLIS = 3_600_000;
 
-    private final CrashingParts parts = new CrashingParts();
+    private final CrashingTraits traits = new CrashingTraits();
     private int servers;
 
-    private static PromptParts prompt(String... ids) {
-        return new PromptParts(Arrays.asList(ids));
+    private static RequestTraits prompt(String... ids) {
+        return RequestTraits.ofPrompt(new PromptParts(Arrays.asList(ids)));
     }
 
-    private void crash(long atMillis, PromptParts... prompts) {
+    private void crash(long atMillis, RequestTraits... prompts) {
         crashOf("s" + ++servers, atMillis, atMillis, prompts);
     }
 
-    private void crashOf(String server, long atMillis, long nowMillis, PromptParts... prompts) {
-        parts.recordCrash(
+    private void crashOf(String server, long atMillis, long nowMillis, RequestTraits... prompts) {
+        traits.recordCrash(
                 new ServerCrash(new Incarnation(server, 1), atMillis, List.of(prompts)), nowMillis);
     }
 
+    private static RequestTraits request(String content, String caller) {
+        return RequestTraits.of(PromptParts.NONE, content, caller + "/" + content);
+    }
+
     private boolean blocks(long nowMillis, String... ids) {
-        parts.expire(nowMillis);
-        return !parts.findMatches(prompt(ids)).isEmpty();
+        return blocks(nowMillis, prompt(ids));
+    }
+
+    private boolean blocks(long nowMillis, RequestTraits request) {
+        traits.expire(nowMillis);
+        return !traits.findMatches(request).isEmpty();
     }
 
     @Test
@@ -60,7 +68,7 @@
         assertThat(blocks(1_001, "first", "r4")).isFalse();
         assertThat(blocks(1_001, "other", DEADLY, "r5")).isFalse();
 
-        parts.recordStart(prompt("first", "r4"), 1_200, 1_200);
+        traits.recordStart(prompt("first", "r4").traits(), 1_200, 1_200);
 
         assertThat(blocks(1_201, "other", DEADLY, "r5")).isTrue();
     }
@@ -108,20 +116,20 @@
     @Test
     void answerThatBeganAfterTheCrashClearsItsParts() {
         crash(0, prompt("f1", "popular", "r1"));
-        parts.recordStart(prompt("f2", "popular", "r2"), 100, 100);
+        traits.recordStart(prompt("f2", "popular", "r2").traits(), 100, 100);
         crash(1_000, prompt("f3", "popular", "r3"));
         assertThat(blocks(1_001, "f4", "popular", "r4")).isFalse();
 
         crash(2_000, prompt("f5", "popular", "r5"));
         assertThat(blocks(2_001, "f6", "popular", "r6")).isTrue();
-        assertThat(parts.recordStart(prompt("f4", "popular", "r4"), 2_100, 2_100))
-                .containsExactly("popular");
+        assertThat(traits.recordStart(prompt("f4", "popular", "r4").traits(), 2_100, 2_100))
+                .containsExactly(RequestTrait.promptPart("popular"));
         assertThat(blocks(2_101, "f6", "popular", "r6")).isFalse();
     }
 
     @Test
     void answerThatBeganBeforeTheCrashClearsNothing() {
-        parts.recordStart(prompt("f0", DEADLY, "r0"), -10, -10);
+        traits.recordStart(prompt("f0", DEADLY, "r0").traits(), -10, -10);
         crash(0, prompt("f1", DEADLY, "r1"));
         crash(1_000, prompt("f2", DEADLY, "r2"));
 
@@ -130,7 +138,7 @@
 
     @Test
     void answerThatBeganBeforeALateReportClearsItsParts() {
-        parts.recordStart(prompt("f0", "popular", "r0"), 1_100, 1_100);
+        traits.recordStart(prompt("f0", "popular", "r0").traits(), 1_100, 1_100);
         crash(0, prompt("f1", "popular", "r1"));
         crash(1_000, prompt("f2", "popular", "r2"));
 
@@ -140,7 +148,7 @@
     /** A server loss retries harmless requests at the next server, which a deadly part crashes. */
     @Test
     void doesNotBlameRequestsThatWereRetriedBesideTheDeadlyPart() {
-        PromptParts retried = prompt("f", "rare", "r1");
+        RequestTraits retried = prompt("f", "rare", "r1");
         crash(0, prompt("a", DEADLY, "r2"), retried);
         crash(1_000, prompt("b", DEADLY, "r3"), retried);
         assertThat(blocks(1_001, "f", "rare", "r1")).isFalse();
@@ -161,7 +169,7 @@
     /** The retry of a request crashed a second server within the time of a common cause. */
     @Test
     void blocksTheRequestThatCrashedTwoServersInAMoment() {
-        PromptParts retried = prompt("f", DEADLY, "r1");
+        RequestTraits retried = prompt("f", DEADLY, "r1");
         crash(0, retried);
         crash(120, retried);
 
@@ -200,20 +208,75 @@
         assertThat(blocks(10_000, first, last)).isEqualTo(blocked);
     }
 
+    @Test
+    void blocksTheRequestOfACallerAfterTwoCrashes() {
+        crash(0, request("t", "alice"));
+        assertThat(blocks(1, request("t", "alice"))).isFalse();
+        crash(1_000, request("t", "alice"), request("other", "bob"));
+
+        assertThat(blocks(1_001, request("t", "alice"))).isTrue();
+        assertThat(blocks(1_001, request("t", "bob"))).isFalse();
+        assertThat(blocks(1_001, request("other", "bob"))).isFalse();
+    }
+
+    /** Each try crashes two servers, and each comes from another address. */
+    @Test
+    void blocksTheContentThatSeveralCallersSend() {
+        for (int i = 0; i < 4; i++) {
+            crash(i * 1_000L - i % 2 * 900, request("t", "caller" + i / 2));
+        }
+
+        assertThat(blocks(5_000, request("t", "another"))).isTrue();
+        assertThat(blocks(5_000, request("other", "caller0"))).isFalse();
+    }
+
+    @Test
+    void answerToAnotherCallerClearsTheContentOnly() {
+        crash(0, request("t", "alice"));
+        crash(1_000, request("t", "alice"));
+        traits.recordStart(request("t", "bob").traits(), 1_100, 1_100);
+
+        assertThat(blocks(1_101, request("t", "alice"))).isTrue();
+        assertThat(blocks(1_101, request("t", "bob"))).isFalse();
+    }
+
+    /** All servers of a service are lost one after the other while many callers ask the same. */
+    @ParameterizedTest
+    @CsvSource({"-1000, false", "-20000, true"})
+    void answerShortlyBeforeTheCrashesClearsTheRequest(long answeredMillis, boolean blocked) {
+        traits.recordStart(request("t", "alice").traits(), answeredMillis, answeredMillis);
+        IntStream.range(0, 4).forEach(i -> crash(i * 1_000L, request("t", "alice")));
+
+        assertThat(blocks(4_000, request("t", "alice"))).isEqualTo(blocked);
+    }
+
+    /** A harmless request was retried beside the one that crashes servers, and is served then. */
+    @Test
+    void answerTellsTheHarmlessRequestFromTheOneThatCrashedBesideIt() {
+        crash(0, request("t", "alice"), request("harmless", "bob"));
+        crash(100, request("t", "alice"), request("harmless", "bob"));
+        assertThat(blocks(101, request("harmless", "bob"))).isFalse();
+
+        traits.recordStart(request("harmless", "bob").traits(), 200, 200);
+
+        assertThat(blocks(201, request("t", "alice"))).isTrue();
+        assertThat(blocks(201, request("harmless", "bob"))).isFalse();
+    }
+
     @Test
     void grantsOneTrialAfterATimeThatDoublesWithEachCrash() {
         crash(0, prompt("f1", DEADLY, "r1"));
         crash(1_000, prompt("f2", DEADLY, "r2"));
-        CrashPattern pattern = parts.patterns().get(0);
+        CrashPattern pattern = traits.patterns().get(0);
 
-        assertThat(parts.tryTrial(pattern, 0, 40_999)).isFalse();
-        assertThat(parts.tryTrial(pattern, 1, 41_000)).isFalse();
-        assertThat(parts.tryTrial(pattern, 0, 41_000)).isTrue();
-        assertThat(parts.tryTrial(pattern, 0, 41_001)).isFalse();
+        assertThat(traits.tryTrial(pattern, 0, 40_999)).isFalse();
+        assertThat(traits.tryTrial(pattern, 1, 41_000)).isFalse();
+        assertThat(traits.tryTrial(pattern, 0, 41_000)).isTrue();
+        assertThat(traits.tryTrial(pattern, 0, 41_001)).isFalse();
 
         crash(41_100, prompt("f3", DEADLY, "r3"));
-        assertThat(parts.tryTrial(parts.patterns().get(0), 0, 121_099)).isFalse();
-        assertThat(parts.tryTrial(parts.patterns().get(0), 0, 121_100)).isTrue();
+        assertThat(traits.tryTrial(traits.patterns().get(0), 0, 121_099)).isFalse();
+        assertThat(traits.tryTrial(traits.patterns().get(0), 0, 121_100)).isTrue();
     }
 
     @Test
@@ -221,8 +284,8 @@
         IntStream.range(0, 5).forEach(i -> crash(i * 1_000L, prompt("f" + i, DEADLY, "r" + i)));
         int trials = 0;
         for (long now = 5_000; now < HOUR_MILLIS; now += 1_000) {
-            parts.expire(now);
-            if (parts.tryTrial(parts.patterns().get(0), 0, now)) {
+            traits.expire(now);
+            if (traits.tryTrial(traits.patterns().get(0), 0, now)) {
                 trials++;
                 crash(now + 100, prompt("g" + now, DEADLY, "t" + now));
             }
