Keep requests to a server within the rate that it names

Cause: entries did not read the limit, and no part of the placement kept to one. Change: ServerRateLimits divides a named rate evenly among the live entries, and placement of plain requests, prefills and reservations leaves out a server whose share is used up. With more entries than the rate has room for, only some use the server, by rendezvous hashing (EntryOrder, which was TrialOrder). A limit ends with a response that names none, and is checked now and then by a single request. What no server takes is rejected at once as not run, with a Retry-After from the rates. Why it works: the sum of the shares is the rate, whichever entries the callers reach, and the bursts that entries may save up are smaller than what the rule allows on top.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
@@ -150,9 +150,15 @@
      * @param wrongServer whether a server other than the expected one responded
      * @param sealed whether the response carries the server's seal
      * @param attemptId the id of the request that the response belongs to
+     * @param requestLimit the requests per second that the server takes from all entries together,
+     *     as it wrote them
      */
     record ResponseHead(
-            boolean notRun, boolean wrongServer, boolean sealed, Optional<String> attemptId) {}
+            boolean notRun,
+            boolean wrongServer,
+            boolean sealed,
+            Optional<String> attemptId,
+            Optional<String> requestLimit) {}
 
     /**
      * The state of a model server.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -11,7 +11,9 @@
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.ServerHealth;
+import dev.foxtailshed.kernel.direct.ServerRateLimits;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
@@ -93,6 +95,7 @@
 
     void send() {
         health.recordStart();
+        context.rateLimits().recordSent(server, startedMillis);
         exchange.send();
     }
 
@@ -223,6 +226,9 @@
         }
         ResponseHead head = context.platform().serverProtocol().parseHead(status, headers);
         Optional<String> problem = findProblem(status, headers, head);
+        if (problem.isEmpty() && !head.wrongServer()) {
+            recordRequestLimit(head);
+        }
         if (problem.isPresent()) {
             abort(CallOutcome.BROKEN, problem.get());
         } else if (head.wrongServer()) {
@@ -239,6 +245,23 @@
         }
     }
 
+    private void recordRequestLimit(ResponseHead head) {
+        OptionalDouble rate =
+                head.requestLimit().map(ServerRateLimits::parseRate).orElse(OptionalDouble.empty());
+        if (head.requestLimit().isPresent() && rate.isEmpty()) {
+            context.recorder().recordUnreadableLimit(server, head.requestLimit().get());
+            return;
+        }
+        if (head.notRun() && rate.isEmpty()) {
+            // A refusal that names no limit does not tell that the server has none.
+            return;
+        }
+        ServerRateLimits.Change change =
+                context.rateLimits()
+                        .recordResponse(server, rate, startedMillis, context.timer().nowMillis());
+        context.recorder().recordLimitChange(server, rate, change);
+    }
+
     private void setOutcome(CallOutcome newOutcome, String newDetail) {
         outcome = newOutcome;
         detail = newDetail;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -175,8 +175,12 @@
         long nowMillis = context.timer().nowMillis();
         while (callsInFlight < MAXIMUM_CALLS_IN_FLIGHT && queue.peek().isPresent()) {
             List<DirectServer> servers =
-                    stageChanges.withoutAnnounced(
-                            context.view().servers().decodeCapable(service), nowMillis);
+                    context.rateLimits()
+                            .withCapacity(
+                                    stageChanges.withoutAnnounced(
+                                            context.view().servers().decodeCapable(service),
+                                            nowMillis),
+                                    nowMillis);
             Optional<DirectServer> server =
                     serverSelector.choose(servers, Set.of(), context.health(), nowMillis);
             if (server.isEmpty()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
@@ -6,6 +6,7 @@
 import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.ServerHealthRegistry;
+import dev.foxtailshed.kernel.direct.ServerRateLimits;
 import java.util.function.DoubleSupplier;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -19,6 +20,7 @@
  * @param timer the clock and scheduler
  * @param httpClient the client for calls to backend servers
  * @param health the health of the backend servers
+ * @param rateLimits the request rates that backend servers named
  * @param retryBudgets the retry budgets by service
  * @param recorder the metrics and log events of requests
  * @param random supplies random numbers in [0, 1)
@@ -30,6 +32,7 @@
         TimerService timer,
         HttpClient httpClient,
         ServerHealthRegistry health,
+        ServerRateLimits rateLimits,
         WindowedRetryBudgets retryBudgets,
         DirectRequestRecorder recorder,
         DoubleSupplier random) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -17,10 +17,11 @@
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
 import dev.foxtailshed.daemon.internal.settings.SettingParsers;
 import dev.foxtailshed.daemon.internal.timer.ExecutorTimerService;
+import dev.foxtailshed.kernel.direct.EntryOrder;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerHealthRegistry;
+import dev.foxtailshed.kernel.direct.ServerRateLimits;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
-import dev.foxtailshed.kernel.suspects.TrialOrder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -100,6 +101,8 @@
     private final ServerConnector connector;
     private final DeploymentView view;
     private final SerialExecutor loop;
+    private final ServerRateLimits rateLimits =
+            new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
     private final CrashGuard crashGuard;
     private final CrashNotices crashNotices;
     private final EntryMembership membership;
@@ -125,6 +128,7 @@
                         timer,
                         httpClient,
                         new ServerHealthRegistry(),
+                        rateLimits,
                         new WindowedRetryBudgets(name -> newRetryBudget()),
                         new DirectRequestRecorder(registry, timer, view::servers),
                         random);
@@ -136,7 +140,7 @@
                         controlClient,
                         Clock.systemUTC(),
                         this::sendCrashNotice,
-                        this::trialRank);
+                        this::entryRank);
         membership = new EntryMembership(store, initialSettings, timer, loop, crashGuard);
         flows =
                 new DirectFlowFactory(
@@ -265,8 +269,9 @@
         }
     }
 
-    private int trialRank(Set<String> labels) {
-        return TrialOrder.rank(
+    /** Returns the number of live entries that come before this one in the order for labels. */
+    private int entryRank(Set<String> labels) {
+        return EntryOrder.rank(
                 labels,
                 SettingParsers.text(settings.get().controlAddress()),
                 membership.otherAddresses().stream().map(SettingParsers::text).toList());
@@ -304,6 +309,8 @@
         registry.register("routes.version", version);
         Gauge<Integer> usable = () -> view.servers().all().size();
         registry.register("servers.usable", usable);
+        Gauge<Integer> limited = rateLimits::size;
+        registry.register("servers.limited", limited);
         Gauge<Integer> patterns = crashGuard::patternCount;
         registry.register("crashes.patterns", patterns);
         Gauge<Integer> members = () -> membership.count().orElse(0);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -14,6 +14,7 @@
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -103,19 +104,43 @@
         if (failIfBlocked()) {
             return Optional.empty();
         }
+        long nowMillis = context.timer().nowMillis();
+        List<DirectServer> untried = untriedServers();
         Optional<DirectServer> server =
                 selector.choose(
-                        context.view().servers().decodeCapable(request.service().name()),
-                        tried,
-                        context.timer().nowMillis());
+                        context.rateLimits().withCapacity(untried, nowMillis), tried, nowMillis);
         if (server.isPresent()) {
             recordAttemptStart(server.get());
-        } else {
+        } else if (untried.isEmpty()) {
             fail("no server of " + request.service().name() + " is left to try");
+        } else {
+            fail(
+                    "the servers of " + request.service().name() + " take no more requests now",
+                    false,
+                    limitRetryMillis(untried, nowMillis));
         }
         return server;
     }
 
+    /** Returns the time until a limited server may get a request, with a random part. */
+    private long limitRetryMillis(List<DirectServer> servers, long nowMillis) {
+        return context.rateLimits().waitMillis(servers, nowMillis) + retryDelayMillis();
+    }
+
+    private List<DirectServer> untriedServers() {
+        return context.view().servers().decodeCapable(request.service().name()).stream()
+                .filter(server -> !tried.contains(server.incarnation()))
+                .toList();
+    }
+
+    /** Returns whether a plain request could be sent to another server at once. */
+    private boolean hasServerWithCapacity() {
+        return request.service().engine().isPresent()
+                || !context.rateLimits()
+                        .withCapacity(untriedServers(), context.timer().nowMillis())
+                        .isEmpty();
+    }
+
     /** Records that the request is about to be sent to a server. */
     final void recordAttemptStart(DirectServer server) {
         tried.add(server.incarnation());
@@ -167,7 +192,9 @@
 
     /** Decides how to proceed after a failed attempt, within the retry budget. */
     final FailureAction chooseAction(CallOutcome outcome) {
-        int serversLeft = remainingMillis() > RESPONSE_MARGIN_MILLIS ? remainingServers() : 0;
+        boolean mayTryAnother =
+                remainingMillis() > RESPONSE_MARGIN_MILLIS && hasServerWithCapacity();
+        int serversLeft = mayTryAnother ? remainingServers() : 0;
         if (outcome == CallOutcome.UNREACHABLE) {
             serversLeft =
                     Math.max(serversLeft, attempts < request.route().maximumServers() ? 1 : 0);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
@@ -112,6 +112,7 @@
     private void removeDepartedServers() {
         List<DirectServer> usable = context.view().servers().all();
         context.health().retain(usable);
+        context.rateLimits().retain(usable);
         modelServices.values().forEach(model -> model.retain(usable));
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -7,8 +7,11 @@
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.direct.CallOutcome;
+import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.RouteTable;
+import dev.foxtailshed.kernel.direct.ServerRateLimits;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -53,6 +56,28 @@
                 Field.of("serversAgeMillis", timer.nowMillis() - servers.readMillis()));
     }
 
+    /** Records that a server named a limit that is no rate. */
+    void recordUnreadableLimit(DirectServer server, String text) {
+        EventLog.log(
+                EventCode.SERVER_LIMIT_UNREADABLE,
+                Field.of("server", server.id()),
+                Field.of("expected", "a decimal number of requests per second"),
+                Field.of("found", text));
+    }
+
+    /** Records that a server's limit has begun, changed or ended. */
+    void recordLimitChange(
+            DirectServer server, OptionalDouble requestsPerSecond, ServerRateLimits.Change change) {
+        if (change == ServerRateLimits.Change.LIMITED) {
+            EventLog.log(
+                    EventCode.SERVER_LIMITED,
+                    Field.of("server", server.id()),
+                    Field.of("requestsPerSecond", requestsPerSecond.orElse(0)));
+        } else if (change == ServerRateLimits.Change.UNLIMITED) {
+            EventLog.log(EventCode.SERVER_UNLIMITED, Field.of("server", server.id()));
+        }
+    }
+
     /** Records the first event of a model request's stream. */
     void recordStreamStart(CallerRequest request, StreamTimings times) {
         registry.timer("streams.waited").update(times.waitedMillis(), TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
@@ -54,6 +54,7 @@
                                 request.body(
                                         new StringRequestContent(
                                                 "application/json", body.toString())));
+        context.rateLimits().recordSent(server, context.timer().nowMillis());
         request.send(
                 new BufferingResponseListener(MAXIMUM_RESPONSE_BYTES) {
                     @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -87,8 +87,14 @@
                         request.route().targetLatencyMillis(),
                         costEstimator.millisPerToken(),
                         entryCount.getAsInt());
+        List<DirectServer> servers = prefillServers();
+        List<DirectServer> withCapacity =
+                context.rateLimits().withCapacity(servers, context.timer().nowMillis());
+        if (withCapacity.isEmpty() && !servers.isEmpty()) {
+            return Optional.empty();
+        }
         return prefillSelector.claim(
-                prefillServers(),
+                withCapacity,
                 tried,
                 context.health(),
                 context.timer().nowMillis(),
@@ -96,7 +102,11 @@
     }
 
     Optional<DirectServer> choosePrefillServer(Set<Incarnation> tried, long nowMillis) {
-        return prefillSelector.choose(prefillServers(), tried, context.health(), nowMillis);
+        return prefillSelector.choose(
+                context.rateLimits().withCapacity(prefillServers(), nowMillis),
+                tried,
+                context.health(),
+                nowMillis);
     }
 
     /** Returns whether a server may still get new requests. */
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -42,6 +42,10 @@
     SERVER_USABLE(
             2201, Level.INFO, "A backend server that can receive requests was added or changed."),
     SERVER_LEFT(2202, Level.INFO, "A backend server receives no more new requests."),
+    SERVER_LIMITED(2203, Level.INFO, "A backend server named the request rate that it takes."),
+    SERVER_UNLIMITED(2204, Level.INFO, "A backend server no longer names a request rate."),
+    SERVER_LIMIT_UNREADABLE(
+            2205, Level.WARN, "A backend server named a request rate that is not a number."),
     CLAIMS_UNREADABLE(
             3003, Level.ERROR, "A shard of claims cannot be read; its calls are refused."),
     /** The retried write was refused because the object already exists. */
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/TrialOrder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EntryOrder.java
@@ -1,22 +1,22 @@
-package dev.foxtailshed.kernel.suspects;
+package dev.foxtailshed.kernel.direct;
 
 import java.util.Collection;
 import java.util.Set;
 
 /**
- * Orders the entries for the trial of a pattern, so that not each of hundreds of entries crashes a
- * server with it.
+ * Orders the entries for a task that only some of hundreds should do, such as a trial of requests
+ * that may crash servers.
  *
  * <p>Uses rendezvous hashing: entries that know the same members agree without messages. Stateless.
  */
-public final class TrialOrder {
+public final class EntryOrder {
 
-    private TrialOrder() {}
+    private EntryOrder() {}
 
     /**
-     * Returns the rank of an entry for a pattern.
+     * Returns the rank of an entry for a task.
      *
-     * @param labels the labels of the pattern's traits
+     * @param labels the names of the task, such as the id of a server
      * @param self the address of the entry
      * @param others the addresses of the other live entries
      * @return the number of entries that come before it
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingTraitsTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingTraitsTest.java
@@ -6,7 +6,6 @@
 import dev.foxtailshed.kernel.direct.PromptParts;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -323,13 +322,4 @@
 
         assertThat(blocks(40_000, "f3", DEADLY, "r3")).isTrue();
     }
-
-    @Test
-    void entriesAgreeOnTheOrderOfTrials() {
-        List<String> entries = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1");
-        for (String part : List.of("a", "b", "c", "d")) {
-            assertThat(entries.stream().map(e -> TrialOrder.rank(Set.of(part), e, entries)))
-                    .containsExactlyInAnyOrder(0, 1, 2);
-        }
-    }
 }
