Log how servers mark the end of their streams

The logs do not tell a stream without a length or chunks from one that was framed and cut short, so the hypotheses of the incident cannot be told apart.

Change: STREAM_ENDED and STREAM_BROKEN name the framing of the answer.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -4,6 +4,7 @@
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.http.ResponseFraming;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.direct.CallOutcome;
@@ -109,6 +110,7 @@
                 Field.of("events", events),
                 Field.of("tookMillis", tookMillis),
                 Field.of("status", position.status()),
+                Field.of("framing", position.framing().map(Enum::name).orElse("NONE")),
                 Field.of("resumedAfter", position.resumedAfter().orElse(-1)),
                 Field.of("firstEventId", position.firstEventId().orElse(-1)),
                 Field.of("lastEventId", position.lastEventId().orElse(-1)),
@@ -125,6 +127,7 @@
                 Field.of("server", server),
                 Field.of("outcome", outcome.name()),
                 Field.of("status", position.status()),
+                Field.of("framing", position.framing().map(Enum::name).orElse("NONE")),
                 Field.of("resumedAfter", position.resumedAfter().orElse(-1)),
                 Field.of("firstEventId", position.firstEventId().orElse(-1)),
                 Field.of("lastEventId", position.lastEventId().orElse(-1)),
@@ -135,6 +138,7 @@
      * The position that an attempt has reached in a stream.
      *
      * @param status the status of the attempt's response; 0 without a response
+     * @param framing how the end of the response is marked; empty without a response
      * @param resumedAfter the id of the event after which the attempt resumed the stream
      * @param firstEventId the id of the attempt's first event
      * @param lastEventId the id of the last event of the stream
@@ -142,6 +146,7 @@
      */
     record StreamPosition(
             int status,
+            Optional<ResponseFraming> framing,
             OptionalLong resumedAfter,
             OptionalLong firstEventId,
             OptionalLong lastEventId,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol.AttemptOptions;
 import dev.foxtailshed.daemon.internal.direct.DirectRequestRecorder.StreamPosition;
+import dev.foxtailshed.daemon.internal.http.ResponseFraming;
 import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
@@ -49,6 +50,7 @@
     private final long stallTimeoutMillis;
     private final ByteArrayOutputStream heldBody = new ByteArrayOutputStream();
     private int status;
+    private Optional<ResponseFraming> framing = Optional.empty();
     private boolean isEventStream;
     private HttpFields heldHeaders = HttpFields.EMPTY;
     private boolean hasEvents;
@@ -128,6 +130,7 @@
     StreamPosition position() {
         return new StreamPosition(
                 status,
+                framing,
                 resumedAfter,
                 splitter.firstEventId(),
                 splitter.lastEventId(),
@@ -150,6 +153,7 @@
     @Override
     public void onHead(int headStatus, HttpFields headers) {
         status = headStatus;
+        framing = Optional.of(ResponseFraming.of(headers));
         lastBytesMillis = context.timer().nowMillis();
         boolean mayStartOrContinue =
                 flow.isResponseStarted()
