Never end a stream that stopped before its first event

Callers saw: 200 and an empty stream, framed as complete, where the server had closed its connection after the head of its answer. The rest of a resumed stream could be lost the same way.

Cause: the end of a response without a length or chunks is the close of its connection. The entry took it for the end of the stream unless it came inside an event, and 'before any event' is not inside one. Class: an orderly close is taken for a statement that everything was sent.

Change: the splitter decides whether a run may end the stream. If the server has not marked the end, the run must have brought an event and stop between two. An answer with a length or chunks may be empty, as a resumption after the last event is; so may one to HEAD or with status 204.

Evidence: BrokenResponseTest plays a server byte by byte.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
@@ -54,7 +55,6 @@
     private boolean isEventStream;
     private HttpFields heldHeaders = HttpFields.EMPTY;
     private boolean hasEvents;
-    private int earlierEvents;
     private Optional<Subscription> stallTimer = Optional.empty();
     private long lastBytesMillis;
 
@@ -94,7 +94,6 @@
 
     void send() {
         splitter.startRun();
-        earlierEvents = splitter.eventCount();
         call.send();
         lastBytesMillis = context.timer().nowMillis();
         if (flow.request.route().repeatability().mayRunAgain() && flow.remainingServers() > 0) {
@@ -178,13 +177,15 @@
 
     @Override
     public Optional<String> findMissingPart() {
-        // A server that stops may close its connection in good order inside an event.
-        if (isEventStream && splitter.incompleteEvent().length > 0) {
-            return Optional.of("the stream ended inside an event");
-        }
-        return isEventStream && splitter.isInterrupted()
-                ? Optional.of("the stream ended before the event at which it had broken off")
-                : Optional.empty();
+        return isEventStream ? splitter.findMissingPart(isEndMarked()) : Optional.empty();
+    }
+
+    private boolean isEndMarked() {
+        return !mayHaveBody() || framing.map(ResponseFraming::marksEnd).orElse(false);
+    }
+
+    private boolean mayHaveBody() {
+        return !HttpMethod.HEAD.is(flow.request.method()) && !HttpStatus.hasNoBody(status);
     }
 
     @Override
@@ -209,7 +210,7 @@
 
     private void forwardEvents(byte[] events) {
         flow.writeResponse(events);
-        if (!hasEvents && splitter.eventCount() > earlierEvents) {
+        if (!hasEvents && splitter.hasEventsOfRun()) {
             hasEvents = true;
             listener.onFirstEvent(this);
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ResponseFraming.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ResponseFraming.java
@@ -12,6 +12,15 @@
     /** The body ends with its connection, so an orderly close looks the same at any point. */
     CONNECTION;
 
+    /**
+     * Returns whether the end of a body shows that the server has sent all of it.
+     *
+     * @return false if the body ends with its connection
+     */
+    public boolean marksEnd() {
+        return this != CONNECTION;
+    }
+
     /**
      * Returns the framing of a response that may have a body.
      *
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
@@ -22,6 +22,7 @@
     private OptionalLong firstEventId = OptionalLong.empty();
     private OptionalLong lastEventId = OptionalLong.empty();
     private int eventCount;
+    private int eventsBeforeRun;
     private boolean interrupted;
 
     /**
@@ -64,13 +65,25 @@
     }
 
     /**
-     * Returns whether an earlier run broke off inside an event that was not received since, so that
-     * the stream cannot be complete.
+     * Returns what is missing from the stream if the current run has ended, in good order, here.
      *
-     * @return true until the next complete event
+     * <p>A server that stops may close its connection as one that has finished does, so the bytes
+     * must show that the stream is complete unless the server has marked its end.
+     *
+     * @param endMarked whether the server has marked the end of its response, by a length or by its
+     *     last chunk
+     * @return a description for logs, or empty if nothing is known to be missing
      */
-    public boolean isInterrupted() {
-        return interrupted;
+    public Optional<String> findMissingPart(boolean endMarked) {
+        if (incompleteEvent.length > 0) {
+            return Optional.of("the stream ended inside an event");
+        }
+        if (interrupted) {
+            return Optional.of("the stream ended before the event at which it had broken off");
+        }
+        return endMarked || hasEventsOfRun()
+                ? Optional.empty()
+                : Optional.of("the stream ended before its first event");
     }
 
     /**
@@ -78,6 +91,7 @@
      */
     public void startRun() {
         interrupted |= incompleteEvent.length > 0 && misplacedEventId.isEmpty();
+        eventsBeforeRun = eventCount;
         incompleteEvent = new byte[0];
         misplacedEventId = OptionalLong.empty();
         firstEventId = OptionalLong.empty();
@@ -93,6 +107,15 @@
         return misplacedEventId;
     }
 
+    /**
+     * Returns whether the current run has brought any complete event.
+     *
+     * @return true after the first one since {@link #startRun}
+     */
+    public boolean hasEventsOfRun() {
+        return eventCount > eventsBeforeRun;
+    }
+
     /**
      * Returns whether any complete event was received.
      *
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that streams are split at event boundaries, however their bytes are chunked. */
@@ -82,6 +83,34 @@
         assertThat(splitter.feed(bytes("id: 9\n\n"))).hasValue(bytes("id: 9\n\n"));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // what the first run brings, what the second brings, whether its end is marked, complete
+        "'', '', true, true",
+        "'', '', false, false",
+        "'', 'id: 1\\n\\n', false, true",
+        "'id: 1\\n\\n', '', true, true",
+        "'id: 1\\n\\n', '', false, false",
+        "'id: 1\\n\\nid: 2', '', true, false",
+        "'id: 1\\n\\n', 'id: 2\\n', true, false",
+        "'id: 1\\n\\n', 'id: 2\\r\\n\\r\\n', false, true",
+        "'id: 1\\n\\n', 'id: 2\\r\\r', false, true"
+    })
+    void tellsWhetherTheStreamMayEndHere(
+            String firstRun, String secondRun, boolean endMarked, boolean complete) {
+        EventStreamSplitter splitter = newSplitter();
+        splitter.startRun();
+        splitter.feed(unescape(firstRun));
+        splitter.startRun();
+        splitter.feed(unescape(secondRun));
+
+        assertThat(splitter.findMissingPart(endMarked).isEmpty()).isEqualTo(complete);
+    }
+
+    private static byte[] unescape(String text) {
+        return bytes(text.replace("\\n", "\n").replace("\\r", "\r"));
+    }
+
     private static EventStreamSplitter newSplitter() {
         return new EventStreamSplitter(new EventSequence(OptionalLong.empty()));
     }
