Wait for the second half of an event's line end

Callers saw: a stream whose server had stopped between the two bytes of the last line end was ended as complete, one byte short.

Cause: a carriage return alone may end a line, so the splitter took it for the end of the event at once and the line feed for an empty line after it.

Change: where the lines of an event end with both, the carriage return that comes last is not yet the end of the event. Streams that use it alone are forwarded as before.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
@@ -157,6 +157,7 @@
      */
     private static int endOfEvent(byte[] bytes, int start) {
         int lineStart = start;
+        boolean pairedLineEnds = false;
         for (int i = start; i < bytes.length; i++) {
             if (bytes[i] != '\n' && bytes[i] != '\r') {
                 continue;
@@ -164,6 +165,10 @@
             boolean emptyLine = i == lineStart;
             if (bytes[i] == '\r' && i + 1 < bytes.length && bytes[i + 1] == '\n') {
                 i++;
+                pairedLineEnds = true;
+            } else if (pairedLineEnds && bytes[i] == '\r' && i + 1 == bytes.length) {
+                // The other half of the line end is still to come.
+                return start;
             }
             lineStart = i + 1;
             if (emptyLine) {
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/EventStreamSplitterTest.java
@@ -93,6 +93,7 @@
         "'id: 1\\n\\n', '', false, false",
         "'id: 1\\n\\nid: 2', '', true, false",
         "'id: 1\\n\\n', 'id: 2\\n', true, false",
+        "'id: 1\\n\\n', 'id: 2\\r\\n\\r', false, false",
         "'id: 1\\n\\n', 'id: 2\\r\\n\\r\\n', false, true",
         "'id: 1\\n\\n', 'id: 2\\r\\r', false, true"
     })
