Reset the connection of a caller whose answer only a close can end

Callers with HTTP/1.0 saw: a stream that broke off ended like a complete one.

Cause: their answers have neither a length nor chunks, so that the close of the connection is the end. The entry broke such an answer off with an orderly close.

Change: a break resets the connection where nothing else marks the end of the answer. Callers with HTTP/1.1 get chunks and the close as before.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
@@ -2,7 +2,9 @@
 
 import dev.foxtailshed.kernel.RequestFailure;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.NetworkChannel;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import org.eclipse.jetty.http.HttpFields;
@@ -11,6 +13,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
@@ -269,6 +272,26 @@
         onDisconnect.run();
     }
 
+    /** Returns whether the caller takes the close of the connection for the end of the response. */
+    private boolean isEndedByConnection() {
+        return response.isCommitted()
+                && ResponseFraming.of(response.getHeaders()) == ResponseFraming.CONNECTION;
+    }
+
+    /** Makes the close of the connection a reset, which no caller takes for the end. */
+    private void resetOnClose() {
+        EndPoint endPoint =
+                response.getRequest().getConnectionMetaData().getConnection().getEndPoint();
+        if (endPoint.getTransport() instanceof NetworkChannel channel) {
+            try {
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException e) {
+                // The caller has closed the connection, so that it reads no end of the response.
+                onDisconnect.run();
+            }
+        }
+    }
+
     private void breakConnection(Throwable cause) {
         synchronized (this) {
             if (closed) {
@@ -278,6 +301,9 @@
             queue.clear();
         }
         disconnectDetector.stop();
+        if (isEndedByConnection()) {
+            resetOnClose();
+        }
         callback.failed(cause);
     }
 }
