Check that a plain service's event stream ends between events

Callers of a deployment with sidecars saw: an event stream of a plain service that had stopped inside an event was ended as complete.

Cause: the same as in the direct way: a close, or a last chunk, was taken for the end of the stream, whatever had arrived.

Change: PlainServiceDriver looks at the last bytes of an event stream; one that ends inside an event, or without an event and a marked end, fails as incomplete. Engines need their end marker already.

Evidence: BackendDriversTest, the case 'inside' of eventStreamThatEndsInsideAnEventIsIncomplete, ended as complete before.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/PlainServiceDriver.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/PlainServiceDriver.java
@@ -3,9 +3,12 @@
 import dev.foxtailshed.daemon.internal.http.BackendHttpClients;
 import dev.foxtailshed.daemon.internal.http.HopByHopHeaders;
 import dev.foxtailshed.daemon.internal.http.HttpExchange;
+import dev.foxtailshed.daemon.internal.http.ResponseFraming;
 import dev.foxtailshed.kernel.AttemptId;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
+import dev.foxtailshed.kernel.Verdict;
+import dev.foxtailshed.kernel.direct.EventStreamTail;
 import dev.foxtailshed.wire.Message.CallWork;
 import dev.foxtailshed.wire.Message.Header;
 import dev.foxtailshed.wire.Message.Work;
@@ -13,8 +16,10 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -23,12 +28,16 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * Forwards calls to a plain HTTP service.
  *
- * <p>Thread-safe. Every response of the service is forwarded unchanged, whatever its status.
- * Prefill and decode work is refused, and so is a path that names another authority.
+ * <p>Thread-safe. Every complete response of the service is forwarded unchanged, whatever its
+ * status; an event stream that ends inside an event fails. Prefill and decode work is refused, and
+ * so is a path that names another authority.
  */
 public final class PlainServiceDriver implements BackendDriver {
 
@@ -124,6 +133,7 @@
         private final AttemptId id;
         private final BackendListener listener;
         private final CompletableFuture<Void> ended = new CompletableFuture<>();
+        private Optional<EventStreamTail> eventStream = Optional.empty();
         private volatile HttpExchange exchange;
 
         Call(AttemptId id, BackendListener listener) {
@@ -133,6 +143,9 @@
 
         @Override
         public void onHead(Response response) {
+            if (isEventStream(response)) {
+                eventStream = Optional.of(new EventStreamTail());
+            }
             List<Header> headers = new ArrayList<>();
             for (HttpField field : response.getHeaders()) {
                 headers.add(new Header(field.getName(), field.getValue()));
@@ -142,13 +155,32 @@
 
         @Override
         public void onBytes(Response response, byte[] bytes, Runnable next) {
+            eventStream.ifPresent(tail -> tail.append(bytes));
             listener.onPart(bytes, 0, next);
         }
 
         @Override
         public void onComplete(Response response) {
             end();
-            listener.onEnd("", 0, 0);
+            boolean endMarked = ResponseFraming.of(response.getHeaders()).marksEnd();
+            if (eventStream.isPresent() && !eventStream.get().isComplete(endMarked)) {
+                listener.onFailure(
+                        RequestFailure.of(
+                                Verdict.RAN,
+                                ErrorCode.INCOMPLETE_ANSWER,
+                                "the event stream of the service ended inside an event or without"
+                                        + " one"));
+            } else {
+                listener.onEnd("", 0, 0);
+            }
+        }
+
+        private static boolean isEventStream(Response response) {
+            String type = response.getHeaders().get(HttpHeader.CONTENT_TYPE);
+            return type != null
+                    && type.toLowerCase(Locale.ROOT).startsWith("text/event-stream")
+                    && !HttpMethod.HEAD.is(response.getRequest().getMethod())
+                    && !HttpStatus.hasNoBody(response.getStatus());
         }
 
         @Override
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/sidecar/BackendDriversTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/sidecar/BackendDriversTest.java
@@ -163,6 +163,16 @@
         assertThat(answer.awaitEnd()).isEqualTo("failed " + verdict + " " + code);
     }
 
+    /** A service that stops may end its response in good order. */
+    @ParameterizedTest
+    @CsvSource({"whole, end  0 0", "none, end  0 0", "inside, failed RAN INCOMPLETE_ANSWER"})
+    void eventStreamThatEndsInsideAnEventIsIncomplete(String variant, String end) {
+        AnswerCollector answer = new AnswerCollector();
+        service.start(ID, call("/events/" + variant, ""), answer);
+
+        assertThat(answer.awaitEnd()).isEqualTo(end);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"//127.0.0.1:1/x", "http://127.0.0.1:1/x"})
     void pathOfAnotherAuthorityIsRefused(String path) {
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/sidecar/TestBackend.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/sidecar/TestBackend.java
@@ -95,6 +95,8 @@
         } else if (echo.startsWith("/status/")) {
             int status = Integer.parseInt(echo.substring(8, 11));
             answer(response, callback, status, "no");
+        } else if (echo.startsWith("/events/")) {
+            sendEvents(response, callback, echo.substring("/events/".length()));
         } else if (echo.startsWith("/large")) {
             answer(response, callback, 200, "x".repeat(4 << 20));
         } else {
@@ -108,6 +110,13 @@
         }
     }
 
+    /** Sends an event stream that ends before, between or inside its events. */
+    private static void sendEvents(Response response, Callback callback, String variant) {
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
+        String events = variant.contains("none") ? "" : "data: a\n\n";
+        answer(response, callback, 200, events + (variant.contains("inside") ? "data: b" : ""));
+    }
+
     private static void closeMidResponse(Request request, Response response, String start) {
         response.write(
                 false,
