Keep the era of the store with each of its revisions, and log restores

Cause: a store that is restored from a copy gives revisions out again. No line read its header Store-Era, so that neither the code nor the logs could tell a revision of the time before from one after.

Change: StorePosition is era and revision, made by the platform's store client and compared in one place. It replaces plain revisions in pages, changes, entries and the copies that entries exchange, where a copy of an earlier era no longer wins by its larger revision. STORE_RESTORED is logged when the era changes. Watches, the lease and the directory act as before.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/SharedStore.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/SharedStore.java
@@ -1,13 +1,14 @@
 package dev.foxtailshed.daemon.hosting;
 
 import com.google.gson.JsonObject;
+import dev.foxtailshed.kernel.direct.StorePosition;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A client of the platform's store, which holds named entries and has a single revision counter.
+ * A client of the platform's store, which holds named entries and has a single history.
  *
  * <p>Thread-safe. The returned futures never complete exceptionally; the verdict of a failed write
  * says whether the write may have taken effect.
@@ -27,13 +28,13 @@
      * Waits for changes to a collection.
      *
      * @param collection the collection to watch
-     * @param revision the revision after which changes are returned
+     * @param position the position after which changes are returned
      * @param waitMillis the longest time to wait for a change, in milliseconds
      * @return the changes, none if the wait timed out; fails with HISTORY_GONE if the store no
      *     longer has the history and the collection must be listed again
      */
     CompletableFuture<Either<StoreFailure, Changes>> watch(
-            StoreCollection collection, long revision, long waitMillis);
+            StoreCollection collection, StorePosition position, long waitMillis);
 
     /**
      * Reads one entry.
@@ -73,17 +74,18 @@
      * @param entries the entries, sorted by name
      * @param unreadable the number of entries left out because they are malformed
      * @param truncated whether more pages follow
-     * @param revision the store's revision at which the page was read
+     * @param position the store's position at which the page was read
      */
-    record Page(List<StoreEntry> entries, int unreadable, boolean truncated, long revision) {}
+    record Page(
+            List<StoreEntry> entries, int unreadable, boolean truncated, StorePosition position) {}
 
     /**
-     * The changes since a revision.
+     * The changes since a position.
      *
      * @param changes the changes, oldest first
-     * @param revision the revision from which to continue the watch
+     * @param position the position from which to continue the watch
      */
-    record Changes(List<Change> changes, long revision) {}
+    record Changes(List<Change> changes, StorePosition position) {}
 
     /**
      * A change of one entry.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -12,6 +12,7 @@
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.Verdict;
+import dev.foxtailshed.kernel.direct.StorePosition;
 import dev.foxtailshed.kernel.retry.Backoff;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -48,7 +49,7 @@
     private final DoubleSupplier random;
     private final PeerExchange peers;
     private final Map<String, StoreEntry> entries = new TreeMap<>();
-    private long knownRevision;
+    private StorePosition known = StorePosition.NONE;
     private int failures;
     private volatile boolean closed;
 
@@ -72,10 +73,10 @@
     /** Receives the content of a collection and the availability of the store. */
     interface Listener {
         /** Called with the complete collection. */
-        void onList(List<StoreEntry> entries, long revision);
+        void onList(List<StoreEntry> entries, StorePosition position);
 
-        /** Called with the changes, possibly none, up to a revision. */
-        void onChanges(List<Change> changes, long revision);
+        /** Called with the changes, possibly none, up to a position. */
+        void onChanges(List<Change> changes, StorePosition position);
 
         /** Called when the store has become unavailable. */
         void onStoreUnavailable();
@@ -114,38 +115,38 @@
             listPage(page.entries().get(page.entries().size() - 1).name(), entries);
             return;
         }
-        applyList(entries, page.revision());
-        watch(page.revision());
+        applyList(entries, page.position());
+        watch(page.position());
     }
 
-    private void watch(long revision) {
-        watch(revision, WATCH_MILLIS);
+    private void watch(StorePosition position) {
+        watch(position, WATCH_MILLIS);
     }
 
-    private void watch(long revision, long waitMillis) {
+    private void watch(StorePosition position, long waitMillis) {
         if (closed) {
             return;
         }
-        store.watch(collection, revision, waitMillis)
-                .thenAcceptAsync(changes -> onChanges(changes, revision), executor)
+        store.watch(collection, position, waitMillis)
+                .thenAcceptAsync(changes -> onChanges(changes, position), executor)
                 .exceptionally(this::onUnexpectedFailure);
     }
 
-    private void onChanges(Either<StoreFailure, Changes> read, long revision) {
+    private void onChanges(Either<StoreFailure, Changes> read, StorePosition position) {
         if (read.isRight()) {
             recordSuccess();
-            applyChanges(read.get().changes(), read.get().revision());
-            watch(read.get().revision());
+            applyChanges(read.get().changes(), read.get().position());
+            watch(read.get().position());
             return;
         }
         switch (read.getLeft().kind()) {
             case HISTORY_GONE, MALFORMED -> {
-                logHistoryGone(read.getLeft(), revision);
+                logHistoryGone(read.getLeft(), position);
                 retry(read.getLeft(), () -> listPage("", new ArrayList<>()));
             }
             default ->
                     // Without a wait, so that a store that is back responds at once.
-                    retry(read.getLeft(), () -> watch(revision, 0));
+                    retry(read.getLeft(), () -> watch(position, 0));
         }
     }
 
@@ -176,17 +177,17 @@
                                 }));
     }
 
-    private void applyList(List<StoreEntry> listed, long revision) {
+    private void applyList(List<StoreEntry> listed, StorePosition position) {
         updateCopy(
                 () -> {
                     entries.clear();
                     listed.forEach(entry -> entries.put(entry.name(), entry));
                 },
-                revision);
-        listener.onList(listed, revision);
+                position);
+        listener.onList(listed, position);
     }
 
-    private void applyChanges(List<Change> changes, long revision) {
+    private void applyChanges(List<Change> changes, StorePosition position) {
         updateCopy(
                 () -> {
                     for (Change change : changes) {
@@ -197,30 +198,37 @@
                         }
                     }
                 },
-                revision);
-        listener.onChanges(changes, revision);
+                position);
+        listener.onChanges(changes, position);
     }
 
     /** Applies a peer's copy, unless the store is back or the copy is not newer. */
     private void applyPeerCopy(PeerExchange.Copy copy) {
-        if (failures > 0 && copy.revision() > knownRevision) {
+        if (failures > 0 && copy.position().compareTo(known) > 0) {
             EventLog.log(
                     EventCode.PEER_ANSWERED,
                     Field.of("collection", collection),
-                    Field.of("revision", copy.revision()),
-                    Field.of("knownRevision", knownRevision));
-            applyList(copy.entries(), copy.revision());
+                    Field.of("position", copy.position()),
+                    Field.of("known", known));
+            applyList(copy.entries(), copy.position());
         }
     }
 
-    private synchronized void updateCopy(Runnable update, long revision) {
+    private synchronized void updateCopy(Runnable update, StorePosition position) {
+        if (!known.equals(StorePosition.NONE) && !known.isSameHistory(position)) {
+            EventLog.log(
+                    EventCode.STORE_RESTORED,
+                    Field.of("collection", collection),
+                    Field.of("known", known),
+                    Field.of("position", position));
+        }
         update.run();
-        knownRevision = Math.max(knownRevision, revision);
+        known = position.compareTo(known) > 0 ? position : known;
     }
 
     private synchronized Optional<PeerExchange.Copy> copy() {
-        return knownRevision > 0
-                ? Optional.of(new PeerExchange.Copy(List.copyOf(entries.values()), knownRevision))
+        return known.revision() > 0
+                ? Optional.of(new PeerExchange.Copy(List.copyOf(entries.values()), known))
                 : Optional.empty();
     }
 
@@ -235,11 +243,11 @@
         }
     }
 
-    private void logHistoryGone(StoreFailure failure, long revision) {
+    private void logHistoryGone(StoreFailure failure, StorePosition position) {
         EventLog.log(
                 EventCode.STORE_HISTORY_GONE,
                 Field.of("collection", collection),
-                Field.of("revision", revision),
+                Field.of("position", position),
                 Field.of("cause", failure.message()));
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -12,6 +12,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerDirectory;
+import dev.foxtailshed.kernel.direct.StorePosition;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
@@ -108,7 +109,7 @@
             EventLog.log(
                     EventCode.ROUTES_UNREADABLE,
                     Field.of("entry", entry.name()),
-                    Field.of("revision", entry.revision()),
+                    Field.of("position", entry.position()),
                     Field.of("cause", read.getLeft()));
             return;
         }
@@ -120,7 +121,7 @@
         EventLog.log(
                 EventCode.ROUTES_APPLIED,
                 Field.of("version", read.get().version()),
-                Field.of("revision", entry.revision()),
+                Field.of("position", entry.position()),
                 Field.of("routes", read.get().routes().size()));
         subscribers.forEach(Runnable::run);
     }
@@ -137,57 +138,57 @@
         return read.toJavaOptional();
     }
 
-    private void publishServers(long revision) {
+    private void publishServers(StorePosition position) {
         List<DirectServer> before = servers.get().all();
         servers.set(
                 ServerCatalog.of(
-                        revision, timer.nowMillis(), directory.usable(), directory.draining()));
+                        position, timer.nowMillis(), directory.usable(), directory.draining()));
         List<DirectServer> after = servers.get().all();
         if (!after.equals(before)) {
-            logChanges(before, after, revision);
+            logChanges(before, after, position);
             subscribers.forEach(Runnable::run);
         }
     }
 
     private static void logChanges(
-            List<DirectServer> before, List<DirectServer> after, long revision) {
+            List<DirectServer> before, List<DirectServer> after, StorePosition position) {
         for (DirectServer server : after) {
             if (!before.contains(server)) {
-                logServer(EventCode.SERVER_USABLE, server, revision);
+                logServer(EventCode.SERVER_USABLE, server, position);
             }
         }
         for (DirectServer server : before) {
             if (after.stream().noneMatch(s -> s.incarnation().equals(server.incarnation()))) {
-                logServer(EventCode.SERVER_LEFT, server, revision);
+                logServer(EventCode.SERVER_LEFT, server, position);
             }
         }
     }
 
-    private static void logServer(EventCode code, DirectServer server, long revision) {
+    private static void logServer(EventCode code, DirectServer server, StorePosition position) {
         EventLog.log(
                 code,
                 Field.of("server", server.id()),
                 Field.of("service", server.service()),
                 Field.of("address", server.address()),
                 Field.of("stage", server.stage().map(Enum::name).orElse("none")),
-                Field.of("revision", revision));
+                Field.of("position", position));
     }
 
     private void expireMissing() {
         if (!directory.expireMissing(timer.nowMillis()).isEmpty()) {
-            publishServers(servers.get().revision());
+            publishServers(servers.get().position());
         }
     }
 
     /** Applies changes of the routes. */
     private final class RouteListener implements CollectionWatcher.Listener {
         @Override
-        public void onList(List<StoreEntry> entries, long revision) {
+        public void onList(List<StoreEntry> entries, StorePosition position) {
             entries.forEach(DeploymentView.this::applyRoutes);
         }
 
         @Override
-        public void onChanges(List<Change> changes, long revision) {
+        public void onChanges(List<Change> changes, StorePosition position) {
             changes.stream()
                     .filter(change -> !change.removed())
                     .forEach(change -> applyRoutes(change.entry()));
@@ -207,7 +208,7 @@
     /** Applies changes of the servers. */
     private final class ServerListener implements CollectionWatcher.Listener {
         @Override
-        public void onList(List<StoreEntry> entries, long revision) {
+        public void onList(List<StoreEntry> entries, StorePosition position) {
             List<DirectServer> read =
                     entries.stream()
                             .map(DeploymentView.this::parseServer)
@@ -215,11 +216,11 @@
                             .toList();
             directory.replaceAll(read, timer.nowMillis());
             serversListed = true;
-            publishServers(revision);
+            publishServers(position);
         }
 
         @Override
-        public void onChanges(List<Change> changes, long revision) {
+        public void onChanges(List<Change> changes, StorePosition position) {
             for (Change change : changes) {
                 Optional<DirectServer> server =
                         change.removed() ? Optional.empty() : parseServer(change.entry());
@@ -227,7 +228,7 @@
                         directory::update,
                         () -> directory.remove(change.entry().name(), timer.nowMillis()));
             }
-            publishServers(revision);
+            publishServers(position);
         }
 
         @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -53,7 +53,7 @@
                 Field.of("fingerprint", RequestFingerprint.of(request).content()),
                 Field.of("promptParts", request.attributes().promptParts().ids()),
                 Field.of("tookMillis", call.elapsedMillis()),
-                Field.of("serversRevision", servers.revision()),
+                Field.of("serversPosition", servers.position()),
                 Field.of("serversAgeMillis", timer.nowMillis() - servers.readMillis()));
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
@@ -154,7 +154,7 @@
 
     private void publish(List<StoreEntry> entries) {
         Map<String, Long> revisions = new HashMap<>();
-        entries.forEach(entry -> revisions.put(entry.name(), entry.revision()));
+        entries.forEach(entry -> revisions.put(entry.name(), entry.position().revision()));
         List<String> live = liveness.update(revisions, timer.nowMillis());
         List<InetSocketAddress> addresses = new ArrayList<>();
         for (StoreEntry entry : entries) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
@@ -12,6 +12,7 @@
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.ErrorBody;
+import dev.foxtailshed.kernel.direct.StorePosition;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -35,7 +36,7 @@
  * Serves this entry's copy of store collections to other entries, and fetches theirs while the
  * store does not respond.
  *
- * <p>A copy has the store's revision at which it was read; an entry applies only copies that are
+ * <p>A copy has the store's position at which it was read; an entry applies only copies that are
  * newer than its own. Thread-safe.
  */
 final class PeerExchange implements Endpoint {
@@ -43,6 +44,7 @@
     private static final String PATH = "/peer/collections/";
     private static final String ENTRIES = "entries";
     private static final String REVISION = "revision";
+    private static final String ERA = "era";
     private static final long TIMEOUT_MILLIS = 500;
     private static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
 
@@ -63,9 +65,9 @@
      * A copy of a collection as an entry has read it.
      *
      * @param entries the entries of the collection
-     * @param revision the store's revision at which they were read
+     * @param position the store's position at which they were read
      */
-    record Copy(List<StoreEntry> entries, long revision) {}
+    record Copy(List<StoreEntry> entries, StorePosition position) {}
 
     /**
      * Registers the supplier of a collection's copy, which is empty until the collection has been
@@ -126,16 +128,27 @@
         for (StoreEntry entry : copy.entries()) {
             JsonObject json = new JsonObject();
             json.addProperty("name", entry.name());
-            json.addProperty(REVISION, entry.revision());
+            addPosition(json, entry.position());
             json.add("body", entry.body());
             entries.add(json);
         }
         JsonObject root = new JsonObject();
-        root.addProperty(REVISION, copy.revision());
+        addPosition(root, copy.position());
         root.add(ENTRIES, entries);
         return root;
     }
 
+    private static void addPosition(JsonObject json, StorePosition position) {
+        json.addProperty(ERA, position.era());
+        json.addProperty(REVISION, position.revision());
+    }
+
+    /** Returns the position of a copy or an entry; entries of the version before name no era. */
+    private static StorePosition positionOf(JsonFields fields) {
+        return new StorePosition(
+                fields.has(ERA) ? fields.getLong(ERA, 0) : 0, fields.getLong(REVISION, 0));
+    }
+
     private static Optional<Copy> read(
             StoreCollection collection, InetSocketAddress peer, byte[] content) {
         try {
@@ -146,10 +159,10 @@
                 entries.add(
                         new StoreEntry(
                                 entry.getString("name"),
-                                entry.getLong(REVISION, 0),
+                                positionOf(entry),
                                 entry.getElement("body").getAsJsonObject()));
             }
-            return Optional.of(new Copy(entries, root.getLong(REVISION, 0)));
+            return Optional.of(new Copy(entries, positionOf(root)));
         } catch (JsonParseException | IllegalStateException | IllegalArgumentException e) {
             EventLog.log(
                     EventCode.PEER_UNREADABLE,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ServerCatalog.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ServerCatalog.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
+import dev.foxtailshed.kernel.direct.StorePosition;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,25 +13,25 @@
  *
  * <p>Each change of the servers creates a new catalog.
  *
- * @param revision the store's revision at which the servers were read
+ * @param position the store's position at which the servers were read
  * @param readMillis the time of the read, on the timer's clock
  * @param byService the usable servers by service
  * @param drainingByService the draining servers by service
  */
 record ServerCatalog(
-        long revision,
+        StorePosition position,
         long readMillis,
         Map<String, List<DirectServer>> byService,
         Map<String, List<DirectServer>> drainingByService) {
 
-    static final ServerCatalog EMPTY = new ServerCatalog(0, 0, Map.of(), Map.of());
+    static final ServerCatalog EMPTY = new ServerCatalog(StorePosition.NONE, 0, Map.of(), Map.of());
 
     static ServerCatalog of(
-            long revision,
+            StorePosition position,
             long readMillis,
             List<DirectServer> servers,
             List<DirectServer> draining) {
-        return new ServerCatalog(revision, readMillis, byService(servers), byService(draining));
+        return new ServerCatalog(position, readMillis, byService(servers), byService(draining));
     }
 
     private static Map<String, List<DirectServer>> byService(List<DirectServer> servers) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
@@ -8,6 +8,7 @@
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.kernel.direct.StorePosition;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -34,7 +35,7 @@
     private final String name;
     private final String holder;
     private final long leaseMillis;
-    private long seenRevision = -1;
+    private StorePosition seenPosition = StorePosition.NONE;
     private long seenSinceMillis;
 
     StageChangeLease(
@@ -89,8 +90,8 @@
             return true;
         }
         long nowMillis = context.timer().nowMillis();
-        if (entry.revision() != seenRevision) {
-            seenRevision = entry.revision();
+        if (!entry.position().equals(seenPosition)) {
+            seenPosition = entry.position();
             seenSinceMillis = nowMillis;
         }
         return nowMillis - seenSinceMillis >= TAKEOVER_LEASE_TIMES * leaseMillis;
@@ -102,8 +103,10 @@
             reportRefusal("not written: " + written.getLeft().message(), next);
             return;
         }
-        EventLog.log(EventCode.LEASE_TAKEN, Field.of("fencingToken", written.get().revision()));
-        next.accept(OptionalLong.of(written.get().revision()));
+        EventLog.log(
+                EventCode.LEASE_TAKEN,
+                Field.of("fencingToken", written.get().position().revision()));
+        next.accept(OptionalLong.of(written.get().position().revision()));
     }
 
     private static void reportRefusal(String cause, Consumer<OptionalLong> next) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -28,6 +28,8 @@
             3004, Level.INFO, "The requested history is no longer in the store; listing again."),
     STORE_ENTRY_UNREADABLE(
             3005, Level.WARN, "An entry of the store cannot be read and is ignored."),
+    STORE_RESTORED(
+            3006, Level.WARN, "The store was restored from a copy and lost its latest changes."),
     MEMBERSHIP_CHANGED(2301, Level.INFO, "The number of live entries changed."),
     MEMBERSHIP_NOT_WRITTEN(
             2302, Level.WARN, "This entry's membership record could not be written."),
