List again when the store was restored between two calls of a watch

Callers saw: 404 on a route whose addition had been confirmed, at some entries, until the next change of the configuration.

Cause: a watch goes on from its revision. After a restore from a copy the store gives revisions out again; once it has reached the watched one, it accepts the watch, and what was changed below it is never told. Class: a position in a history is used in another history.

Change: CollectionWatcher compares the era of each answer with the one that it watched or began to list in. If it differs, it lists again at once; a list whose pages are from two eras is read anew.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -26,9 +26,10 @@
 /**
  * Keeps a copy of one collection of the store: lists it, then watches it from the listed revision.
  *
- * <p>A failed call is retried with backoff; if the store no longer has the history of a watch, the
- * collection is listed again. A watch waits only for a short time, since a connection may stall
- * without an error. All listeners run on the given executor, one at a time.
+ * <p>A failed call is retried with backoff; if the store no longer has the history of a watch, or
+ * was restored from a copy, the collection is listed again. A watch waits only for a short time,
+ * since a connection may stall without an error. All listeners run on the given executor, one at a
+ * time.
  */
 final class CollectionWatcher {
 
@@ -87,32 +88,47 @@
 
     void start() {
         peers.register(collection, this::copy);
-        executor.execute(() -> listPage("", new ArrayList<>()));
+        executor.execute(this::list);
     }
 
     void close() {
         closed = true;
     }
 
-    private void listPage(String after, List<StoreEntry> entries) {
+    private void list() {
+        listPage("", Optional.empty(), new ArrayList<>());
+    }
+
+    private void listPage(String after, Optional<StorePosition> first, List<StoreEntry> entries) {
         store.list(collection, after)
-                .thenAcceptAsync(page -> onPage(page, entries), executor)
+                .thenAcceptAsync(page -> onPage(page, first, entries), executor)
                 .exceptionally(this::onUnexpectedFailure);
     }
 
-    private void onPage(Either<StoreFailure, Page> read, List<StoreEntry> entries) {
+    /** Adds a page to the list, whose first page was read at a position. */
+    private void onPage(
+            Either<StoreFailure, Page> read,
+            Optional<StorePosition> first,
+            List<StoreEntry> entries) {
         if (read.isLeft()) {
-            retry(read.getLeft(), () -> listPage("", new ArrayList<>()));
+            retry(read.getLeft(), this::list);
             return;
         }
         recordSuccess();
         Page page = read.get();
+        if (first.isPresent() && !first.get().isSameHistory(page.position())) {
+            list();
+            return;
+        }
         entries.addAll(page.entries());
         if (page.unreadable() > 0) {
             logUnreadable(page.unreadable());
         }
         if (page.truncated() && !page.entries().isEmpty()) {
-            listPage(page.entries().get(page.entries().size() - 1).name(), entries);
+            listPage(
+                    page.entries().get(page.entries().size() - 1).name(),
+                    first.or(() -> Optional.of(page.position())),
+                    entries);
             return;
         }
         applyList(entries, page.position());
@@ -135,6 +151,11 @@
     private void onChanges(Either<StoreFailure, Changes> read, StorePosition position) {
         if (read.isRight()) {
             recordSuccess();
+            if (!read.get().position().isSameHistory(position)) {
+                // Changes up to the watched revision were made again, and are not among these.
+                list();
+                return;
+            }
             applyChanges(read.get().changes(), read.get().position());
             watch(read.get().position());
             return;
@@ -142,7 +163,7 @@
         switch (read.getLeft().kind()) {
             case HISTORY_GONE, MALFORMED -> {
                 logHistoryGone(read.getLeft(), position);
-                retry(read.getLeft(), () -> listPage("", new ArrayList<>()));
+                retry(read.getLeft(), this::list);
             }
             default ->
                     // Without a wait, so that a store that is back responds at once.
@@ -266,7 +287,7 @@
         retry(
                 new StoreFailure(
                         StoreFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN, cause.toString()),
-                () -> listPage("", new ArrayList<>()));
+                this::list);
         return null;
     }
 }
