Wait for entries that a restore of the store has lost

Callers saw: a server that had registered in the seconds which a restore loses got no more requests from the entries for the rest of its life, although it wrote its entry again a moment later.

Cause: an entry that is missing from a list has left, unless the store was seen to be away. An outage between two calls of a watch is not seen.

Change: the watcher tells its listener of a restore before the next list, and the directory starts the same grace period as after an outage.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -84,6 +84,12 @@
 
         /** Called when the store has become available again, before the next list or changes. */
         void onStoreAvailable();
+
+        /**
+         * Called when the store was restored from a copy, before the next list, which lacks the
+         * changes that were lost until their writers make them again.
+         */
+        void onStoreRestored();
     }
 
     void start() {
@@ -199,6 +205,14 @@
     }
 
     private void applyList(List<StoreEntry> listed, StorePosition position) {
+        if (!known.equals(StorePosition.NONE) && !known.isSameHistory(position)) {
+            EventLog.log(
+                    EventCode.STORE_RESTORED,
+                    Field.of("collection", collection),
+                    Field.of("known", known),
+                    Field.of("position", position));
+            listener.onStoreRestored();
+        }
         updateCopy(
                 () -> {
                     entries.clear();
@@ -236,13 +250,6 @@
     }
 
     private synchronized void updateCopy(Runnable update, StorePosition position) {
-        if (!known.equals(StorePosition.NONE) && !known.isSameHistory(position)) {
-            EventLog.log(
-                    EventCode.STORE_RESTORED,
-                    Field.of("collection", collection),
-                    Field.of("known", known),
-                    Field.of("position", position));
-        }
         update.run();
         known = position.compareTo(known) > 0 ? position : known;
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -203,6 +203,11 @@
         public void onStoreAvailable() {
             // The next watch or list returns the changes made during the outage.
         }
+
+        @Override
+        public void onStoreRestored() {
+            // The version in force is never replaced by an earlier one.
+        }
     }
 
     /** Applies changes of the servers. */
@@ -240,5 +245,10 @@
         public void onStoreAvailable() {
             directory.markStoreAvailable(timer.nowMillis());
         }
+
+        @Override
+        public void onStoreRestored() {
+            directory.markStoreRestored(timer.nowMillis());
+        }
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
@@ -13,10 +13,10 @@
  * The backend servers that may get new requests, according to the platform's store.
  *
  * <p>A server that was seen draining or removed stays excluded for the rest of its incarnation,
- * even if an older read still lists it. Entries expire while the store is unavailable and are
- * written again shortly after it is available. A server whose entry is missing during this time is
- * therefore kept until a grace period after the store's return has passed. Not thread-safe; readers
- * use the immutable list returned by {@link #usable}.
+ * even if an older read still lists it. Entries expire while the store is unavailable, or are lost
+ * when it is restored from a copy, and are written again shortly after it is available. A server
+ * whose entry is missing during this time is therefore kept until a grace period after the store's
+ * return has passed. Not thread-safe; readers use the immutable list returned by {@link #usable}.
  */
 public final class ServerDirectory {
 
@@ -56,6 +56,16 @@
         }
     }
 
+    /**
+     * Records that the store was restored from a copy and starts the grace period, also if the
+     * outage was too short to be noticed.
+     *
+     * @param nowMillis the current time
+     */
+    public void markStoreRestored(long nowMillis) {
+        graceEndMillis = nowMillis + RETURN_GRACE_MILLIS;
+    }
+
     /**
      * Replaces the entries with a complete list.
      *
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/ServerDirectoryTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/ServerDirectoryTest.java
@@ -54,6 +54,28 @@
         assertThat(directory.usable()).containsExactly(restarted, second);
     }
 
+    /** The outage may have been too short to be noticed. */
+    @Test
+    void entryThatARestoreHasLostKeepsItsServerUntilItIsWrittenAgain() {
+        directory.markStoreRestored(1_000);
+        directory.replaceAll(List.of(second), 1_000);
+        assertThat(directory.usable()).containsExactly(first, second);
+
+        directory.update(first);
+        assertThat(directory.expireMissing(3_000)).isEmpty();
+        assertThat(directory.usable()).containsExactly(first, second);
+    }
+
+    @Test
+    void entryThatStaysMissingAfterARestoreHasLeft() {
+        directory.markStoreRestored(1_000);
+        directory.replaceAll(List.of(second), 1_000);
+
+        assertThat(directory.expireMissing(2_999)).isEmpty();
+        assertThat(directory.expireMissing(3_000)).containsExactly(first);
+        assertThat(directory.usable()).containsExactly(second);
+    }
+
     @Test
     void missingEntryKeepsItsServerUntilTheGracePeriodEnds() {
         directory.markStoreUnavailable();
