Keep stage commands exclusive when the store is restored

Cause: the fencing token of a stage command was the revision of the lease, which goes back with a restore, so that servers refused all commands as outdated, or two holders could get one number. The lease itself may be lost while its holder acts on it, or come back with an earlier holder; and a conditional write could succeed on a revision that had been given out again.

Change: the token is the position in the store's history, era and revision. LeaseTakeover, without I/O, decides who may acquire: after a restore nobody for two lease times, by when no command of a lost lease can be under way. A write that lands in another era than its read does not count. Reads of one entry return their position for that, also without an entry.

That two entries ever acted at once after a restore was not seen, only derived.

Remains: a process whose first read of the store comes after a restore does not know of it, and does not wait.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/SharedStore.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/SharedStore.java
@@ -41,10 +41,9 @@
      *
      * @param collection the collection of the entry
      * @param name the entry's name
-     * @return the entry, or empty if it does not exist
+     * @return the entry, if it exists, and the position of the read
      */
-    CompletableFuture<Either<StoreFailure, Optional<StoreEntry>>> get(
-            StoreCollection collection, String name);
+    CompletableFuture<Either<StoreFailure, Lookup>> get(StoreCollection collection, String name);
 
     /**
      * Creates an entry.
@@ -68,6 +67,14 @@
     CompletableFuture<Either<StoreFailure, StoreEntry>> replace(
             StoreCollection collection, StoreEntry expected, JsonObject body);
 
+    /**
+     * The result of reading one entry.
+     *
+     * @param entry the entry, empty if it does not exist
+     * @param position the position of the entry, or one of the same era without an entry
+     */
+    record Lookup(Optional<StoreEntry> entry, StorePosition position) {}
+
     /**
      * A page of a collection.
      *
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import dev.foxtailshed.daemon.hosting.SharedStore;
+import dev.foxtailshed.daemon.hosting.SharedStore.Lookup;
 import dev.foxtailshed.daemon.hosting.SharedStore.Page;
 import dev.foxtailshed.daemon.hosting.StoreCollection;
 import dev.foxtailshed.daemon.hosting.StoreEntry;
@@ -107,13 +108,13 @@
                 .thenAcceptAsync(this::write, executor);
     }
 
-    private void write(Either<StoreFailure, Optional<StoreEntry>> read) {
+    private void write(Either<StoreFailure, Lookup> read) {
         if (read.isLeft()) {
             // The collection watchers log that the store is unavailable; the next period retries.
             return;
         }
         if (refreshes == 0) {
-            read.get().ifPresent(this::mergeAttachment);
+            read.get().entry().ifPresent(this::mergeAttachment);
         }
         JsonObject body = new JsonObject();
         body.addProperty(ADDRESS, SettingParsers.text(settings.controlAddress()));
@@ -121,6 +122,7 @@
         body.addProperty(REFRESHES, ++refreshes);
         body.add(ATTACHMENT, attachment.toJson());
         read.get()
+                .entry()
                 .map(entry -> store.replace(StoreCollection.ENTRIES, entry, body))
                 .orElseGet(() -> store.create(StoreCollection.ENTRIES, settings.instance(), body))
                 .thenAccept(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
@@ -2,12 +2,14 @@
 
 import com.google.gson.JsonObject;
 import dev.foxtailshed.daemon.hosting.SharedStore;
+import dev.foxtailshed.daemon.hosting.SharedStore.Lookup;
 import dev.foxtailshed.daemon.hosting.StoreCollection;
 import dev.foxtailshed.daemon.hosting.StoreEntry;
 import dev.foxtailshed.daemon.hosting.StoreFailure;
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.kernel.direct.LeaseTakeover;
 import dev.foxtailshed.kernel.direct.StorePosition;
 import io.vavr.control.Either;
 import java.util.Optional;
@@ -17,10 +19,11 @@
 /**
  * The lease that allows one entry at a time to send stage changes to model servers.
  *
- * <p>Each grant is a conditional write to the store, whose revision is the fencing token: it
- * increases with each grant. The lease is renewed before each command and not in between. Another
- * entry takes it over only after it has seen it unchanged for two lease times on its own clock, so
- * commands of two holders are more than one lease time apart. Runs on the entry's loop.
+ * <p>Each grant is a conditional write to the store, whose position is the fencing token: it
+ * increases with each grant, also when the store was restored from a copy in between. The lease is
+ * renewed before each command and not in between. Another entry takes it over only after it has
+ * seen it unchanged for two lease times on its own clock, so commands of two holders are more than
+ * one lease time apart. Runs on the entry's loop.
  */
 final class StageChangeLease {
 
@@ -35,8 +38,7 @@
     private final String name;
     private final String holder;
     private final long leaseMillis;
-    private StorePosition seenPosition = StorePosition.NONE;
-    private long seenSinceMillis;
+    private final LeaseTakeover takeover;
 
     StageChangeLease(
             DirectContext context,
@@ -49,6 +51,12 @@
         this.name = name;
         this.holder = holder;
         this.leaseMillis = leaseMillis;
+        this.takeover = new LeaseTakeover(holder, TAKEOVER_LEASE_TIMES * leaseMillis);
+    }
+
+    /** Records the store's position at another call, so that a restore is noticed in time. */
+    void observeStore(StorePosition position) {
+        takeover.observeStore(position, context.timer().nowMillis());
     }
 
     /**
@@ -69,44 +77,41 @@
                 .thenAccept(read -> context.runOnLoop(() -> onRead(read, next)));
     }
 
-    private void onRead(
-            Either<StoreFailure, Optional<StoreEntry>> read, Consumer<OptionalLong> next) {
+    private void onRead(Either<StoreFailure, Lookup> read, Consumer<OptionalLong> next) {
         if (read.isLeft()) {
             reportRefusal("the store failed: " + read.getLeft().message(), next);
-        } else if (read.get().isEmpty()) {
-            store.create(StoreCollection.LEASES, name, body(1))
-                    .thenAccept(written -> context.runOnLoop(() -> onWritten(written, next)));
-        } else if (canAcquire(read.get().get())) {
-            StoreEntry entry = read.get().get();
-            store.replace(StoreCollection.LEASES, entry, body(grantsOf(entry) + 1))
-                    .thenAccept(written -> context.runOnLoop(() -> onWritten(written, next)));
-        } else {
-            reportRefusal("held by " + holderOf(read.get().get()), next);
-        }
-    }
-
-    private boolean canAcquire(StoreEntry entry) {
-        if (holderOf(entry).equals(holder)) {
-            return true;
+            return;
         }
-        long nowMillis = context.timer().nowMillis();
-        if (!entry.position().equals(seenPosition)) {
-            seenPosition = entry.position();
-            seenSinceMillis = nowMillis;
+        Optional<StoreEntry> entry = read.get().entry();
+        Optional<String> current = entry.map(StageChangeLease::holderOf);
+        if (!takeover.mayAcquire(current, read.get().position(), context.timer().nowMillis())) {
+            reportRefusal("held by " + current.orElse("nobody, after a restore"), next);
+            return;
         }
-        return nowMillis - seenSinceMillis >= TAKEOVER_LEASE_TIMES * leaseMillis;
+        entry.map(e -> store.replace(StoreCollection.LEASES, e, body(grantsOf(e) + 1)))
+                .orElseGet(() -> store.create(StoreCollection.LEASES, name, body(1)))
+                .thenAccept(
+                        written ->
+                                context.runOnLoop(
+                                        () -> onWritten(read.get().position(), written, next)));
     }
 
-    private void onWritten(Either<StoreFailure, StoreEntry> written, Consumer<OptionalLong> next) {
+    private void onWritten(
+            StorePosition read,
+            Either<StoreFailure, StoreEntry> written,
+            Consumer<OptionalLong> next) {
         if (written.isLeft()) {
             // If the write has taken effect nevertheless, the next read returns it.
             reportRefusal("not written: " + written.getLeft().message(), next);
             return;
         }
-        EventLog.log(
-                EventCode.LEASE_TAKEN,
-                Field.of("fencingToken", written.get().position().revision()));
-        next.accept(OptionalLong.of(written.get().position().revision()));
+        StorePosition position = written.get().position();
+        if (!takeover.isAcquired(read, position, context.timer().nowMillis())) {
+            reportRefusal("the store was restored meanwhile", next);
+            return;
+        }
+        EventLog.log(EventCode.LEASE_TAKEN, Field.of("fencingToken", position.toFencingToken()));
+        next.accept(OptionalLong.of(position.toFencingToken()));
     }
 
     private static void reportRefusal(String cause, Consumer<OptionalLong> next) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -83,6 +83,7 @@
     }
 
     private void evaluate() {
+        lease.observeStore(context.view().servers().position());
         Optional<RouteTable> routes = context.view().routes();
         if (routes.isPresent() && context.view().isComplete() && !commandInFlight) {
             for (DirectService service : routes.get().services().values()) {
