Take the routes of other entries where the store has older ones

An entry that starts right after a restore of the store reads a configuration that was replaced in the lost seconds, and would refuse routes that all other entries serve, until the operator writes it again.

Change: after each list of the routes an entry asks one other entry for its copy, and applies it if its version is higher. What an entry gives to others is the version in force, not what a restored store has listed.

Evidence: entryThatStartsAfterARestoreHasTheVersionOfItsPeers failed before and passes; all six of RestoredStoreTest pass.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -90,6 +90,16 @@
          * changes that were lost until their writers make them again.
          */
         void onStoreRestored();
+
+        /**
+         * Returns the entries that other entries of the deployment should copy.
+         *
+         * @param listed the entries as last read from the store
+         * @return the entries in force, which may be newer than a restored store
+         */
+        default List<StoreEntry> inForce(List<StoreEntry> listed) {
+            return listed;
+        }
     }
 
     void start() {
@@ -256,7 +266,9 @@
 
     private synchronized Optional<PeerExchange.Copy> copy() {
         return known.revision() > 0
-                ? Optional.of(new PeerExchange.Copy(List.copyOf(entries.values()), known))
+                ? Optional.of(
+                        new PeerExchange.Copy(
+                                listener.inForce(List.copyOf(entries.values())), known))
                 : Optional.empty();
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -41,6 +41,8 @@
     private final AtomicReference<ServerCatalog> servers =
             new AtomicReference<>(ServerCatalog.EMPTY);
     private final List<Runnable> subscribers = new ArrayList<>();
+    private final PeerExchange peers;
+    private final AtomicReference<StoreEntry> routesEntry = new AtomicReference<>();
     private final CollectionWatcher routeWatcher;
     private final CollectionWatcher serverWatcher;
     private volatile boolean serversListed;
@@ -55,6 +57,7 @@
         this.platform = platform;
         this.timer = timer;
         this.executor = executor;
+        this.peers = peers;
         routeWatcher =
                 new CollectionWatcher(
                         store,
@@ -118,6 +121,7 @@
             return;
         }
         routes.set(read.get());
+        routesEntry.set(entry);
         EventLog.log(
                 EventCode.ROUTES_APPLIED,
                 Field.of("version", read.get().version()),
@@ -185,6 +189,19 @@
         @Override
         public void onList(List<StoreEntry> entries, StorePosition position) {
             entries.forEach(DeploymentView.this::applyRoutes);
+            // A store that was just restored may have an earlier version than other entries.
+            peers.fetch(
+                    StoreCollection.ROUTES,
+                    copy ->
+                            executor.execute(
+                                    () ->
+                                            copy.entries()
+                                                    .forEach(DeploymentView.this::applyRoutes)));
+        }
+
+        @Override
+        public List<StoreEntry> inForce(List<StoreEntry> listed) {
+            return Optional.ofNullable(routesEntry.get()).map(List::of).orElse(listed);
         }
 
         @Override
