Take a refusal for one only if it names the request

Callers saw: 503 or 421, the promise that a request has not run, for one that a server had run or was running; a stream that may run once could be sent to a second server.

Cause: a faulty server may write an earlier refusal once more on a kept connection, in place of the next answer. The entry checked the id of a refusal only if it had one.

Change: a refusal without the request's id is a broken answer: the request may have run, and the connection is closed.

Evidence: repeatedRefusalNeverPromisesThatARequestHasNotRun, two of three cases, and repeatedRefusalOfAStreamThatMayRunOnceIsNotTriedAgain failed before. otherResponseToAResumptionIsNeverPartOfTheStream, eight cases, shows that errors, other types and garbage never get into a stream; they passed before, too. BrokenResponseTest 65 and DirectEntryTest 28 pass.

Remains: control calls have no id, so that a repeated answer to one of them is not told.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -273,7 +273,10 @@
             return Optional.of("the response belongs to request " + head.attemptId().get());
         }
         if (head.notRun()) {
-            return Optional.empty();
+            // Without an id, it may be an earlier refusal that was written once more.
+            return hasRequestId
+                    ? Optional.empty()
+                    : Optional.of("a refusal with status " + status + " without a request id");
         }
         boolean success = status / STATUSES_PER_CLASS == SUCCESS_CLASS;
         if (prefillOnly) {
