Let stage commands go on after a restore if nobody else can hold the lease

Cause: for two lease times after a restore no entry acquired the lease, also where its holder alone had been active.

Change: holders announce each command to all other entries, not through the store. Only an entry that has heard of another holder within two lease times waits after a restore, or one whose write landed in another era.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
@@ -54,6 +54,11 @@
         this.takeover = new LeaseTakeover(holder, TAKEOVER_LEASE_TIMES * leaseMillis);
     }
 
+    /** Records that another entry has announced a command, as only the holder does. */
+    void recordOtherHolder() {
+        takeover.recordOtherHolder(context.timer().nowMillis());
+    }
+
     /** Records the store's position at another call, so that a restore is noticed in time. */
     void observeStore(StorePosition position) {
         takeover.observeStore(position, context.timer().nowMillis());
@@ -85,7 +90,11 @@
         Optional<StoreEntry> entry = read.get().entry();
         Optional<String> current = entry.map(StageChangeLease::holderOf);
         if (!takeover.mayAcquire(current, read.get().position(), context.timer().nowMillis())) {
-            reportRefusal("held by " + current.orElse("nobody, after a restore"), next);
+            reportRefusal(
+                    takeover.mayBeHeldSinceRestore(context.timer().nowMillis())
+                            ? "possibly held by another entry since the store was restored"
+                            : "held by " + current.orElse("nobody"),
+                    next);
             return;
         }
         entry.map(e -> store.replace(StoreCollection.LEASES, e, body(grantsOf(e) + 1)))
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageCoordinator.java
@@ -188,6 +188,7 @@
 
     /** Records the notice of another entry, so that this entry's plan takes the change as made. */
     void recordNotice(Notice notice) {
+        lease.recordOtherHolder();
         Optional<EngineSpec> engine =
                 context.view()
                         .routes()
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/LeaseTakeover.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/LeaseTakeover.java
@@ -7,8 +7,9 @@
  *
  * <p>Another holder's lease may be acquired after it has been seen unchanged for the takeover time.
  * A restore of the store may lose a lease while its holder acts on it, or bring back an earlier
- * holder, so that for the takeover time after a restore nobody may acquire it. Times are taken from
- * this process's clock only. Not thread-safe.
+ * holder. After a restore, a lease is therefore not acquired within the takeover time of a sign
+ * that another process holds it: holders announce what they do to all others, not through the
+ * store. Times are taken from this process's clock only. Not thread-safe.
  */
 public final class LeaseTakeover {
 
@@ -18,6 +19,7 @@
     private StorePosition lease = StorePosition.NONE;
     private long leaseSeenMillis;
     private Optional<Long> restoredMillis = Optional.empty();
+    private Optional<Long> otherActiveMillis = Optional.empty();
 
     /**
      * Creates the decision for one lease.
@@ -47,6 +49,31 @@
         store = position;
     }
 
+    /**
+     * Records a sign that another process holds the lease.
+     *
+     * @param nowMillis the current time
+     */
+    public void recordOtherHolder(long nowMillis) {
+        otherActiveMillis = Optional.of(nowMillis);
+    }
+
+    /**
+     * Returns whether a lease that a restore has lost may be held by another process.
+     *
+     * @param nowMillis the current time
+     * @return whether the store was restored and another holder was active, both within the
+     *     takeover time
+     */
+    public boolean mayBeHeldSinceRestore(long nowMillis) {
+        return isWithinTakeover(restoredMillis, nowMillis)
+                && isWithinTakeover(otherActiveMillis, nowMillis);
+    }
+
+    private boolean isWithinTakeover(Optional<Long> eventMillis, long nowMillis) {
+        return eventMillis.isPresent() && nowMillis - eventMillis.get() < takeoverMillis;
+    }
+
     /**
      * Returns whether this process may try to acquire or renew the lease.
      *
@@ -57,7 +84,7 @@
      */
     public boolean mayAcquire(Optional<String> holder, StorePosition position, long nowMillis) {
         observeStore(position, nowMillis);
-        if (restoredMillis.isPresent() && nowMillis - restoredMillis.get() < takeoverMillis) {
+        if (mayBeHeldSinceRestore(nowMillis)) {
             return false;
         }
         if (holder.isEmpty() || holder.get().equals(self)) {
@@ -81,6 +108,10 @@
      */
     public boolean isAcquired(StorePosition read, StorePosition written, long nowMillis) {
         observeStore(written, nowMillis);
-        return read.isSameHistory(written);
+        if (!read.isSameHistory(written)) {
+            recordOtherHolder(nowMillis);
+            return false;
+        }
+        return true;
     }
 }
