Give each request a result, also when the HTTP client fails to send it

The HTTP client's send had thrown a NullPointerException instead of reporting a result (its destination had no connection pool), so that the exchange never ended and its caller waited for the deadline. Cause: all parts that send requests relied on the client to report each result. A store call or a control call that ended like this would have stopped a watch of the configuration, or a reservation, for good. Change: ClientRequests.send turns such an exception into the result; exchanges, store calls, control calls, notices and reports go through it. An exchange that was not begun has not run, so the request goes to another server. Measured: HttpExchangeTest, which sends with a client that is not started, failed before with a NullPointerException of the client and passes now. Why the pool was missing is still not known.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/StoreCalls.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/StoreCalls.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.hosting;
 
+import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.kernel.Verdict;
 import io.vavr.control.Either;
 import java.net.ConnectException;
@@ -32,7 +33,8 @@
             int maximumBodyBytes,
             Function<StoreResponse, Either<StoreFailure, T>> reader) {
         CompletableFuture<Either<StoreFailure, T>> future = new CompletableFuture<>();
-        request.send(
+        ClientRequests.send(
+                request,
                 new BufferingResponseListener(maximumBodyBytes) {
                     @Override
                     public void onComplete(Result result) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotices.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotices.java
@@ -4,6 +4,7 @@
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.daemon.internal.http.BodyAccumulator;
+import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.kernel.TimerService;
 import java.net.InetSocketAddress;
@@ -77,22 +78,22 @@
 
     private void send(InetSocketAddress peer, CrashNotice notice, long sentMillis, int attempt) {
         byte[] body = CrashNotice.encode(List.of(notice.olderBy(timer.nowMillis() - sentMillis)));
-        newRequest(peer)
-                .method(HttpMethod.POST)
-                .body(new BytesRequestContent(CONTENT_TYPE, body))
-                .send(
-                        result -> {
-                            if (hasStatus(result, HttpStatus.NO_CONTENT_204)) {
-                                return;
-                            }
-                            if (attempt < MAXIMUM_ATTEMPTS) {
-                                timer.once(
-                                        RETRY_DELAY_MILLIS,
-                                        () -> send(peer, notice, sentMillis, attempt + 1));
-                            } else {
-                                logNotDelivered(peer, result);
-                            }
-                        });
+        ClientRequests.send(
+                newRequest(peer)
+                        .method(HttpMethod.POST)
+                        .body(new BytesRequestContent(CONTENT_TYPE, body)),
+                result -> {
+                    if (hasStatus(result, HttpStatus.NO_CONTENT_204)) {
+                        return;
+                    }
+                    if (attempt < MAXIMUM_ATTEMPTS) {
+                        timer.once(
+                                RETRY_DELAY_MILLIS,
+                                () -> send(peer, notice, sentMillis, attempt + 1));
+                    } else {
+                        logNotDelivered(peer, result);
+                    }
+                });
     }
 
     /**
@@ -106,16 +107,16 @@
         int first = all.isEmpty() ? 0 : (int) (timer.nowMillis() % all.size());
         for (int i = 0; i < Math.min(maximumPeers, all.size()); i++) {
             InetSocketAddress peer = all.get((first + i) % all.size());
-            newRequest(peer)
-                    .send(
-                            new BufferingResponseListener(MAXIMUM_BYTES) {
-                                @Override
-                                public void onComplete(Result result) {
-                                    if (hasStatus(result, HttpStatus.OK_200)) {
-                                        receive(peer, getContent());
-                                    }
-                                }
-                            });
+            ClientRequests.send(
+                    newRequest(peer),
+                    new BufferingResponseListener(MAXIMUM_BYTES) {
+                        @Override
+                        public void onComplete(Result result) {
+                            if (hasStatus(result, HttpStatus.OK_200)) {
+                                receive(peer, getContent());
+                            }
+                        }
+                    });
         }
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol;
 import dev.foxtailshed.daemon.hosting.ServerProtocol.ControlCall;
+import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
@@ -55,7 +56,8 @@
                                         new StringRequestContent(
                                                 "application/json", body.toString())));
         context.rateLimits().recordSent(server, context.timer().nowMillis());
-        request.send(
+        ClientRequests.send(
+                request,
                 new BufferingResponseListener(MAXIMUM_RESPONSE_BYTES) {
                     @Override
                     public void onComplete(Result result) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
@@ -10,6 +10,7 @@
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.ErrorBody;
 import dev.foxtailshed.kernel.direct.StorePosition;
@@ -84,23 +85,22 @@
             return;
         }
         InetSocketAddress peer = addresses.get((int) (random.getAsDouble() * addresses.size()));
-        httpClient
-                .newRequest(peer.getHostString(), peer.getPort())
-                .path(PATH + collection.name())
-                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .send(
-                        new BufferingResponseListener(MAXIMUM_RESPONSE_BYTES) {
-                            @Override
-                            public void onComplete(Result result) {
-                                boolean succeeded =
-                                        result.isSucceeded()
-                                                && result.getResponse().getStatus()
-                                                        == HttpStatus.OK_200;
-                                if (succeeded) {
-                                    read(collection, peer, getContent()).ifPresent(next);
-                                }
-                            }
-                        });
+        ClientRequests.send(
+                httpClient
+                        .newRequest(peer.getHostString(), peer.getPort())
+                        .path(PATH + collection.name())
+                        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS),
+                new BufferingResponseListener(MAXIMUM_RESPONSE_BYTES) {
+                    @Override
+                    public void onComplete(Result result) {
+                        boolean succeeded =
+                                result.isSucceeded()
+                                        && result.getResponse().getStatus() == HttpStatus.OK_200;
+                        if (succeeded) {
+                            read(collection, peer, getContent()).ifPresent(next);
+                        }
+                    }
+                });
     }
 
     @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeNotices.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeNotices.java
@@ -3,6 +3,7 @@
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
@@ -79,18 +80,19 @@
     /** Sends a notice to all other entries. */
     void send(Notice notice) {
         for (InetSocketAddress peer : peers.get()) {
-            httpClient
-                    .newRequest(peer.getHostString(), peer.getPort())
-                    .method(HttpMethod.POST)
-                    .path(PATH)
-                    .param(SERVICE, notice.service())
-                    .param(SERVER, notice.server().id())
-                    .param(STARTED, Long.toString(notice.server().startedEpochMillis()))
-                    .param(STAGE, notice.stage().name())
-                    .param(LEAD, Long.toString(notice.leadMillis()))
-                    .param(DURATION, Long.toString(notice.durationMillis()))
-                    .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                    .send(result -> logFailure(peer, result.getFailure()));
+            org.eclipse.jetty.client.Request request =
+                    httpClient
+                            .newRequest(peer.getHostString(), peer.getPort())
+                            .method(HttpMethod.POST)
+                            .path(PATH)
+                            .param(SERVICE, notice.service())
+                            .param(SERVER, notice.server().id())
+                            .param(STARTED, Long.toString(notice.server().startedEpochMillis()))
+                            .param(STAGE, notice.stage().name())
+                            .param(LEAD, Long.toString(notice.leadMillis()))
+                            .param(DURATION, Long.toString(notice.durationMillis()))
+                            .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            ClientRequests.send(request, result -> logFailure(peer, result.getFailure()));
         }
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryInForceReport.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryInForceReport.java
@@ -5,6 +5,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.daemon.internal.manifest.AppliedManifest;
 import dev.foxtailshed.daemon.internal.manifest.ManifestHolder;
 import dev.foxtailshed.daemon.internal.operator.InForceReport;
@@ -101,17 +102,19 @@
         CompletableFuture<JsonObject> answer = new CompletableFuture<>();
         String host = other.address().getAddress().getHostAddress();
         String url = "http://" + host + ":" + other.address().getPort();
-        httpClient
-                .newRequest(url + "/operator/v1/in-force?local=true")
-                .headers(headers -> headers.put(HttpHeader.AUTHORIZATION, authorizationHeader))
-                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .send(
-                        new BufferingResponseListener() {
-                            @Override
-                            public void onComplete(Result result) {
-                                answer.complete(toRow(other, result, this::getContent));
-                            }
-                        });
+        ClientRequests.send(
+                httpClient
+                        .newRequest(url + "/operator/v1/in-force?local=true")
+                        .headers(
+                                headers ->
+                                        headers.put(HttpHeader.AUTHORIZATION, authorizationHeader))
+                        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS),
+                new BufferingResponseListener() {
+                    @Override
+                    public void onComplete(Result result) {
+                        answer.complete(toRow(other, result, this::getContent));
+                    }
+                });
         return answer;
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
@@ -5,6 +5,7 @@
 import dev.foxtailshed.kernel.Verdict;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -27,6 +28,7 @@
     private volatile boolean sendStarted;
     private volatile boolean headReceived;
     private volatile boolean aborted;
+    private final AtomicBoolean ended = new AtomicBoolean();
 
     /**
      * Creates an exchange without sending the request.
@@ -79,8 +81,8 @@
     public void send() {
         request.onRequestBegin(startedRequest -> sendStarted = true)
                 .onResponseHeaders(this::onResponseHead)
-                .onResponseContentAsync(this::onResponseContent)
-                .send(this::onResult);
+                .onResponseContentAsync(this::onResponseContent);
+        ClientRequests.send(request, this::onResult);
     }
 
     /** Aborts the exchange. */
@@ -111,6 +113,9 @@
     }
 
     private void onResult(Result result) {
+        if (ended.getAndSet(true)) {
+            return;
+        }
         if (aborted) {
             handler.onAborted();
         } else if (result.isFailed()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/EngineDriver.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/sidecar/EngineDriver.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.sidecar;
 
+import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.daemon.internal.http.HttpExchange;
 import dev.foxtailshed.kernel.AttemptId;
 import dev.foxtailshed.kernel.ErrorCode;
@@ -116,7 +117,8 @@
     public CompletableFuture<Either<String, List<String>>> heldRequests() {
         CompletableFuture<Either<String, List<String>>> response = new CompletableFuture<>();
         Request request = request(HttpMethod.GET, "/v1/requests", controlTimeoutMillis);
-        request.send(
+        ClientRequests.send(
+                request,
                 new BufferingResponseListener(MAXIMUM_LIST_BYTES) {
                     @Override
                     public void onComplete(Result result) {
@@ -150,18 +152,18 @@
     }
 
     private void postCancel(String requestId, CompletableFuture<Boolean> engineStopped) {
-        request(HttpMethod.POST, "/v1/cancel", controlTimeoutMillis)
-                .body(new BytesRequestContent(JSON_TYPE, EngineJson.cancelRequest(requestId)))
-                .send(
-                        result -> {
-                            if (isCancelSettled(result)) {
-                                engineStopped.complete(result.isFailed());
-                            } else {
-                                timer.once(
-                                        CANCEL_RETRY_MILLIS,
-                                        () -> postCancel(requestId, engineStopped));
-                            }
-                        });
+        ClientRequests.send(
+                request(HttpMethod.POST, "/v1/cancel", controlTimeoutMillis)
+                        .body(
+                                new BytesRequestContent(
+                                        JSON_TYPE, EngineJson.cancelRequest(requestId))),
+                result -> {
+                    if (isCancelSettled(result)) {
+                        engineStopped.complete(result.isFailed());
+                    } else {
+                        timer.once(CANCEL_RETRY_MILLIS, () -> postCancel(requestId, engineStopped));
+                    }
+                });
     }
 
     /**
--- /dev/null
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/HttpExchangeTest.java
@@ -0,0 +1,72 @@
+package dev.foxtailshed.daemon.internal.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.foxtailshed.daemon.hosting.StoreCalls;
+import dev.foxtailshed.daemon.hosting.StoreFailure;
+import dev.foxtailshed.kernel.ErrorCode;
+import dev.foxtailshed.kernel.RequestFailure;
+import dev.foxtailshed.kernel.Verdict;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Response;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests without a result, because the HTTP client failed to send them. */
+class HttpExchangeTest {
+
+    private final HttpClient stopped = new HttpClient();
+
+    @Test
+    void requestThatTheClientFailsToSendHasNotRun() {
+        FailureCollector collector = new FailureCollector();
+
+        new HttpExchange(stopped.newRequest("127.0.0.1", 1), collector).send();
+
+        assertThat(collector.failures).hasSize(1);
+        assertThat(collector.failures.get(0).verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(collector.failures.get(0).code()).isEqualTo(ErrorCode.NO_SERVER);
+    }
+
+    @Test
+    void storeCallThatTheClientFailsToSendFails() {
+        CompletableFuture<Either<StoreFailure, String>> result =
+                StoreCalls.send(
+                        stopped.newRequest("127.0.0.1", 1), 1, response -> Either.right("read"));
+
+        assertThat(result).isCompletedWithValueMatching(Either::isLeft);
+    }
+
+    /** Collects the failures of an exchange that gets no response. */
+    private static final class FailureCollector implements HttpExchange.Handler {
+        final List<RequestFailure> failures = new ArrayList<>();
+
+        @Override
+        public void onHead(Response response) {
+            throw new AssertionError("unexpected head: " + response);
+        }
+
+        @Override
+        public void onBytes(Response response, byte[] bytes, Runnable next) {
+            throw new AssertionError("unexpected bytes of " + response);
+        }
+
+        @Override
+        public void onComplete(Response response) {
+            throw new AssertionError("unexpected end of " + response);
+        }
+
+        @Override
+        public void onFailure(RequestFailure failure) {
+            failures.add(failure);
+        }
+
+        @Override
+        public void onAborted() {
+            throw new AssertionError("the exchange was not aborted");
+        }
+    }
+}
