Watch a listed collection from its first page on

Seen: CrashingRequestTest.entryThatJoinsLearnsOfTheRequest failed once beside six busy processes: an entry that had started while servers came and went did not see all servers for ten seconds. Cause: a collection that takes several calls to list was watched from the position of its last page. A change of an earlier page's entry that was made between two calls was in neither the list nor the watch, so a server that had left, drained or joined then was never noticed. Change: the watch starts at the position of the first page, and the list counts as read there; changes that a later page has already are applied once more. The tests' store has pages of two entries, the platform's of about five hundred, so that only large deployments are affected.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -121,7 +121,11 @@
                 .exceptionally(this::onUnexpectedFailure);
     }
 
-    /** Adds a page to the list, whose first page was read at a position. */
+    /**
+     * Adds a page to the list, whose first page was read at a position.
+     *
+     * <p>The watch starts at the first page, as later changes of its entries are not in the list.
+     */
     private void onPage(
             Either<StoreFailure, Page> read,
             Optional<StorePosition> first,
@@ -132,7 +136,8 @@
         }
         recordSuccess();
         Page page = read.get();
-        if (first.isPresent() && !first.get().isSameHistory(page.position())) {
+        StorePosition start = first.orElse(page.position());
+        if (!start.isSameHistory(page.position())) {
             list();
             return;
         }
@@ -143,12 +148,12 @@
         if (page.truncated() && !page.entries().isEmpty()) {
             listPage(
                     page.entries().get(page.entries().size() - 1).name(),
-                    first.or(() -> Optional.of(page.position())),
+                    Optional.of(start),
                     entries);
             return;
         }
-        applyList(entries, page.position());
-        watch(page.position());
+        applyList(entries, start);
+        watch(start);
     }
 
     private void watch(StorePosition position) {
