Ask several entries for the configuration after a restore of the store

Seen: an entry that starts right after a restore asked one entry for the configuration in force. The settings may name entries that no longer run; with two of three gone, the entry kept the old configuration and answered 404 on a route that was added (CONFIG) until the operator wrote it again. Change: up to three entries are asked, and each copy is applied that is newer. While the store is away, copies are still fetched from one entry at a time.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -205,7 +205,7 @@
             listener.onStoreUnavailable();
         }
         if (storeUnavailable && failures > 1) {
-            peers.fetch(collection, copy -> executor.execute(() -> applyPeerCopy(copy)));
+            peers.fetch(collection, 1, copy -> executor.execute(() -> applyPeerCopy(copy)));
         }
         long delayMillis = BACKOFF.delayMillis(failures, random.getAsDouble());
         timer.once(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -33,6 +33,9 @@
     /** Period of the check for servers whose entries have not come back after a store outage. */
     private static final long EXPIRY_PERIOD_MILLIS = 100;
 
+    /** Entries that are asked for the routes in force, as some of them may not run. */
+    private static final int PEERS_TO_ASK = 3;
+
     private final HostingPlatform platform;
     private final TimerService timer;
     private final Executor executor;
@@ -192,6 +195,7 @@
             // A store that was just restored may have an earlier version than other entries.
             peers.fetch(
                     StoreCollection.ROUTES,
+                    PEERS_TO_ASK,
                     copy ->
                             executor.execute(
                                     () ->
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
@@ -78,13 +78,22 @@
         suppliers.put(collection, copy);
     }
 
-    /** Fetches a collection from one peer, chosen at random; failures are ignored. */
-    void fetch(StoreCollection collection, Consumer<Copy> next) {
+    /**
+     * Fetches a collection from peers chosen at random; failures are ignored.
+     *
+     * @param collection the collection
+     * @param maximumPeers the number of peers to ask
+     * @param next receives each peer's copy, on any thread
+     */
+    void fetch(StoreCollection collection, int maximumPeers, Consumer<Copy> next) {
         List<InetSocketAddress> addresses = peers.get();
-        if (addresses.isEmpty()) {
-            return;
+        int first = (int) (random.getAsDouble() * addresses.size());
+        for (int i = 0; i < Math.min(maximumPeers, addresses.size()); i++) {
+            fetch(collection, addresses.get((first + i) % addresses.size()), next);
         }
-        InetSocketAddress peer = addresses.get((int) (random.getAsDouble() * addresses.size()));
+    }
+
+    private void fetch(StoreCollection collection, InetSocketAddress peer, Consumer<Copy> next) {
         ClientRequests.send(
                 httpClient
                         .newRequest(peer.getHostString(), peer.getPort())
