Send requests without token counts to no server that is about to change its stage

Cause: only requests with token counts kept away from servers with an announced stage change. Others were sent there, refused, and rejected if their route allows one server. Change: flows get the servers that they may use from the flow factory, which leaves out announced servers for all requests to a model service.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
@@ -6,7 +6,9 @@
 import dev.foxtailshed.kernel.direct.ServerHealth;
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -35,8 +37,9 @@
             CallerRequest request,
             CallerStream caller,
             CrashTracker crashTracker,
+            Supplier<List<DirectServer>> servers,
             ServerSelector selector) {
-        super(context, request, caller, crashTracker);
+        super(context, request, caller, crashTracker, servers);
         this.selector = selector;
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -41,21 +42,33 @@
     final CallerRequest request;
     private final CallerStream caller;
     private final CrashTracker crashTracker;
+    private final Supplier<List<DirectServer>> servers;
     private final Set<Incarnation> tried = new HashSet<>();
     private Verdict verdict = Verdict.NOT_RUN;
     private int attempts;
     private boolean finished;
     private Optional<Subscription> deadlineTimer = Optional.empty();
 
+    /**
+     * Creates a flow.
+     *
+     * @param context the shared dependencies
+     * @param request the request
+     * @param caller the response to the caller
+     * @param crashTracker tells whether the request crashes servers
+     * @param servers supplies the servers that may get the request at the moment
+     */
     DirectFlow(
             DirectContext context,
             CallerRequest request,
             CallerStream caller,
-            CrashTracker crashTracker) {
+            CrashTracker crashTracker,
+            Supplier<List<DirectServer>> servers) {
         this.context = context;
         this.request = request;
         this.caller = caller;
         this.crashTracker = crashTracker;
+        this.servers = servers;
     }
 
     /** Starts processing and the deadline timer. */
@@ -128,7 +141,7 @@
     }
 
     private List<DirectServer> untriedServers() {
-        return context.view().servers().decodeCapable(request.service().name()).stream()
+        return servers.get().stream()
                 .filter(server -> !tried.contains(server.incarnation()))
                 .toList();
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlowFactory.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /**
  * Creates the flow for each request and holds the state that flows share. Runs on the entry's loop.
@@ -72,7 +73,8 @@
         lastRequestMillis = context.timer().nowMillis();
         CrashTracker crashTracker = new CrashTracker(crashGuard, context.timer(), request);
         if (!request.route().repeatability().isStream()) {
-            return new BufferedFlow(context, request, caller, crashTracker, selector);
+            return new BufferedFlow(
+                    context, request, caller, crashTracker, servers(request), selector);
         }
         Optional<TokenCounts> demand = request.attributes().tokenCounts();
         if (request.service().engine().isPresent() && demand.isPresent()) {
@@ -80,7 +82,15 @@
             model.recordArrival(demand.get());
             return new ModelFlow(context, request, caller, crashTracker, model, demand.get());
         }
-        return new PlainStreamFlow(context, request, caller, crashTracker, selector);
+        return new PlainStreamFlow(
+                context, request, caller, crashTracker, servers(request), selector);
+    }
+
+    private Supplier<List<DirectServer>> servers(CallerRequest request) {
+        String service = request.service().name();
+        return request.service().engine().isPresent()
+                ? modelService(service)::decodeServers
+                : () -> context.view().servers().decodeCapable(service);
     }
 
     /** Returns the shared state of the requests to a model service. */
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -59,7 +59,7 @@
             CrashTracker crashTracker,
             ModelService service,
             TokenCounts tokenCounts) {
-        super(context, request, caller, crashTracker);
+        super(context, request, caller, crashTracker, service::decodeServers);
         this.service = service;
         this.tokenCounts = tokenCounts;
         this.splitter = new EventStreamSplitter(newEventSequence());
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelService.java
@@ -116,6 +116,12 @@
                 .anyMatch(usable -> !stageChanges.isChanging(usable, context.timer().nowMillis()));
     }
 
+    /** Returns the servers that may get new streams. */
+    List<DirectServer> decodeServers() {
+        return stageChanges.withoutAnnounced(
+                context.view().servers().decodeCapable(name), context.timer().nowMillis());
+    }
+
     private List<DirectServer> prefillServers() {
         return stageChanges.withoutAnnounced(
                 context.view().servers().forService(name, Stage.PREFILL),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
@@ -6,7 +6,9 @@
 import dev.foxtailshed.kernel.direct.EventStreamSplitter;
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.ServerSelector;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpStatus;
 
 /** A request with a streamed response to a service without model servers. */
@@ -21,8 +23,9 @@
             CallerRequest request,
             CallerStream caller,
             CrashTracker crashTracker,
+            Supplier<List<DirectServer>> servers,
             ServerSelector selector) {
-        super(context, request, caller, crashTracker);
+        super(context, request, caller, crashTracker, servers);
         this.selector = selector;
         this.splitter = new EventStreamSplitter(newEventSequence());
     }
