Report a reset that cannot be set as part of the cause of the break

Cause: a break of an answer told the flow that its caller had disconnected when the socket option of the reset failed, also where the flow itself had broken it off.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
@@ -278,8 +278,13 @@
                 && ResponseFraming.of(response.getHeaders()) == ResponseFraming.CONNECTION;
     }
 
-    /** Makes the close of the connection a reset, which no caller takes for the end. */
-    private void resetOnClose() {
+    /**
+     * Makes the close of the connection a reset, which no caller takes for the end.
+     *
+     * @param closeCause the reason of the close, which gets a failure to set the reset as
+     *     suppressed
+     */
+    private void resetOnClose(Throwable closeCause) {
         EndPoint endPoint =
                 response.getRequest().getConnectionMetaData().getConnection().getEndPoint();
         if (endPoint.getTransport() instanceof NetworkChannel channel) {
@@ -287,7 +292,7 @@
                 channel.setOption(StandardSocketOptions.SO_LINGER, 0);
             } catch (IOException e) {
                 // The caller has closed the connection, so that it reads no end of the response.
-                onDisconnect.run();
+                closeCause.addSuppressed(e);
             }
         }
     }
@@ -302,7 +307,7 @@
         }
         disconnectDetector.stop();
         if (isEndedByConnection()) {
-            resetOnClose();
+            resetOnClose(cause);
         }
         callback.failed(cause);
     }
