Forward no promise that a request has not run which its server did not make

Callers would have seen: 503, 429 or 408 for a request that may not run twice and that a server had run. They take these statuses as the promise that it has not run, and send it again. Cause: a response counted as the server's own error, to be forwarded unchanged, unless it stated that the request had not run; the status itself was not looked at. Class: a word of the server is passed on as one of ours. Change: such a response is broken, as one without an id or a seal: 502, or another server where the request may run again. Which statuses are promises is told by platform/.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
@@ -147,6 +147,8 @@
      * The head of a response.
      *
      * @param notRun whether the server states that it did not run the request
+     * @param promisesNotRun whether callers take the status as the promise that the request has not
+     *     run
      * @param wrongServer whether a server other than the expected one responded
      * @param sealed whether the response carries the server's seal
      * @param attemptId the id of the request that the response belongs to
@@ -155,6 +157,7 @@
      */
     record ResponseHead(
             boolean notRun,
+            boolean promisesNotRun,
             boolean wrongServer,
             boolean sealed,
             Optional<String> attemptId,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -287,6 +287,9 @@
         if (!hasRequestId) {
             return Optional.of("status " + status + " without a request id");
         }
+        if (head.promisesNotRun()) {
+            return Optional.of("status " + status + " of a request that may have run");
+        }
         if (!head.sealed()) {
             return Optional.of("status " + status + " without a seal");
         }
