Use the handle of a prefill only if the response names the request

Callers would have seen: an answer to another caller's prompt. Cause: a faulty server may write an earlier response once more on a kept connection. The id was required of all responses but those to prefills, whose handle was then taken for that of the next prompt. Class as with repeated refusals: a response is taken for the answer because of its place on the connection. Change: all responses to forwarded requests must name them; there is one check, before the kinds of responses are told apart. Evidence: repeatedResponseToAPrefillNeverServesAnotherRequest failed before, with the handle of the first request sent for the second one; BrokenResponseTest passes with 73 cases, DirectStreamTest with 27.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -268,15 +268,15 @@
     }
 
     private Optional<String> findProblem(int status, HttpFields headers, ResponseHead head) {
-        boolean hasRequestId = head.attemptId().isPresent();
-        if (hasRequestId && !head.attemptId().get().equals(request.id())) {
+        if (head.attemptId().isEmpty()) {
+            // It may be an earlier response that was written once more.
+            return Optional.of("status " + status + " without a request id");
+        }
+        if (!head.attemptId().get().equals(request.id())) {
             return Optional.of("the response belongs to request " + head.attemptId().get());
         }
         if (head.notRun()) {
-            // Without an id, it may be an earlier refusal that was written once more.
-            return hasRequestId
-                    ? Optional.empty()
-                    : Optional.of("a refusal with status " + status + " without a request id");
+            return Optional.empty();
         }
         boolean success = status / STATUSES_PER_CLASS == SUCCESS_CLASS;
         if (prefillOnly) {
@@ -284,9 +284,6 @@
                     ? Optional.empty()
                     : Optional.of("the prefill failed with status " + status);
         }
-        if (!hasRequestId) {
-            return Optional.of("status " + status + " without a request id");
-        }
         if (head.promisesNotRun()) {
             return Optional.of("status " + status + " of a request that may have run");
         }
