Use servers again that write their entries anew after they were removed

Cause: a server whose entry was removed stayed excluded for the rest of its incarnation. But entries also expire while a server cannot reach the store, and it writes its entry again later. The same held for an entry that another writer had made unreadable for a moment. Class: the absence of a report is taken for a report. Change: the directory remembers at which position a removed entry had been written; one that is written later ends the exclusion. Older reads, and entries that a restored store brings back, do not. Servers seen draining stay excluded.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -12,6 +12,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerDirectory;
+import dev.foxtailshed.kernel.direct.ServerDirectory.Registration;
 import dev.foxtailshed.kernel.direct.StorePosition;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -133,7 +134,7 @@
         subscribers.forEach(Runnable::run);
     }
 
-    private Optional<DirectServer> parseServer(StoreEntry entry) {
+    private Optional<Registration> parseServer(StoreEntry entry) {
         Either<String, DirectServer> read = platform.parseServer(entry);
         if (read.isLeft()) {
             EventLog.log(
@@ -142,7 +143,7 @@
                     Field.of("entry", entry.name()),
                     Field.of("cause", read.getLeft()));
         }
-        return read.toJavaOptional();
+        return read.toJavaOptional().map(server -> new Registration(server, entry.position()));
     }
 
     private void publishServers(StorePosition position) {
@@ -235,7 +236,7 @@
     private final class ServerListener implements CollectionWatcher.Listener {
         @Override
         public void onList(List<StoreEntry> entries, StorePosition position) {
-            List<DirectServer> read =
+            List<Registration> read =
                     entries.stream()
                             .map(DeploymentView.this::parseServer)
                             .flatMap(Optional::stream)
@@ -248,7 +249,7 @@
         @Override
         public void onChanges(List<Change> changes, StorePosition position) {
             for (Change change : changes) {
-                Optional<DirectServer> server =
+                Optional<Registration> server =
                         change.removed() ? Optional.empty() : parseServer(change.entry());
                 server.ifPresentOrElse(
                         directory::update,
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
@@ -2,21 +2,25 @@
 
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The backend servers that may get new requests, according to the platform's store.
  *
- * <p>A server that was seen draining or removed stays excluded for the rest of its incarnation,
- * even if an older read still lists it. Entries expire while the store is unavailable, or are lost
- * when it is restored from a copy, and are written again shortly after it is available. A server
- * whose entry is missing during this time is therefore kept until a grace period after the store's
- * return has passed. Not thread-safe; readers use the immutable list returned by {@link #usable}.
+ * <p>A server that was seen draining stays excluded for the rest of its incarnation. One whose
+ * entry was removed is excluded until it writes its entry again, as servers do that could not reach
+ * the store for a while; an older read that still lists it does not count. Entries expire while the
+ * store is unavailable, or are lost when it is restored from a copy, and are written again shortly
+ * after it is available. A server whose entry is missing during this time is therefore kept until a
+ * grace period after the store's return has passed. Not thread-safe; readers use the immutable list
+ * returned by {@link #usable}.
  */
 public final class ServerDirectory {
 
@@ -32,13 +36,32 @@
      */
     private static final int MAXIMUM_DEPARTED = 10_000;
 
-    private final Map<String, DirectServer> present = new HashMap<>();
-    private final Map<String, DirectServer> missing = new HashMap<>();
-    private final Set<Incarnation> departed = new HashSet<>();
+    private final Map<String, Registration> present = new HashMap<>();
+    private final Map<String, Registration> missing = new HashMap<>();
+    private final Map<Incarnation, StorePosition> removed = new DepartedServers<>();
+    private final Map<Incarnation, Boolean> drained = new DepartedServers<>();
     private long graceEndMillis = Long.MIN_VALUE;
     private boolean storeUnavailable;
     private List<DirectServer> usable = List.of();
 
+    /**
+     * A server as its entry describes it.
+     *
+     * @param server the server
+     * @param written the position at which the server last changed its entry
+     */
+    public record Registration(DirectServer server, StorePosition written) {}
+
+    /** What is remembered of servers that have left, without the eldest if there are too many. */
+    private static final class DepartedServers<V> extends LinkedHashMap<Incarnation, V> {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Incarnation, V> eldest) {
+            return size() > MAXIMUM_DEPARTED;
+        }
+    }
+
     /** Records that the store does not respond; until it does, entries may expire. */
     public void markStoreUnavailable() {
         storeUnavailable = true;
@@ -69,28 +92,28 @@
     /**
      * Replaces the entries with a complete list.
      *
-     * @param servers all entries that could be read
+     * @param listed all entries that could be read
      * @param nowMillis the current time
      */
-    public void replaceAll(List<DirectServer> servers, long nowMillis) {
-        Set<String> listed = new HashSet<>();
-        servers.forEach(server -> listed.add(server.id()));
+    public void replaceAll(List<Registration> listed, long nowMillis) {
+        Set<String> ids = new HashSet<>();
+        listed.forEach(registration -> ids.add(registration.server().id()));
         for (String id : List.copyOf(present.keySet())) {
-            if (!listed.contains(id)) {
+            if (!ids.contains(id)) {
                 removeEntry(id, nowMillis);
             }
         }
-        servers.forEach(this::put);
+        listed.forEach(registration -> put(registration, false));
         rebuildUsable();
     }
 
     /**
-     * Adds or replaces an entry.
+     * Adds or replaces an entry that was written since the last list.
      *
-     * @param server the new entry
+     * @param changed the new entry
      */
-    public void update(DirectServer server) {
-        put(server);
+    public void update(Registration changed) {
+        put(changed, true);
         rebuildUsable();
     }
 
@@ -115,11 +138,14 @@
         if (missing.isEmpty() || storeUnavailable || nowMillis < graceEndMillis) {
             return List.of();
         }
-        List<DirectServer> removed = new ArrayList<>(missing.values());
-        removed.forEach(server -> markDeparted(server.incarnation()));
+        List<DirectServer> expired = new ArrayList<>();
+        for (Registration registration : missing.values()) {
+            markRemoved(registration);
+            expired.add(registration.server());
+        }
         missing.clear();
         rebuildUsable();
-        return removed;
+        return expired;
     }
 
     /**
@@ -137,48 +163,69 @@
      * @return a new list
      */
     public List<DirectServer> draining() {
-        return present.values().stream().filter(DirectServer::draining).toList();
+        return present.values().stream()
+                .map(Registration::server)
+                .filter(DirectServer::draining)
+                .toList();
     }
 
-    private void put(DirectServer server) {
-        DirectServer existing = present.get(server.id());
-        if (existing != null && existing.startedEpochMillis() > server.startedEpochMillis()) {
+    private void put(Registration registration, boolean changed) {
+        DirectServer server = registration.server();
+        Registration existing = present.get(server.id());
+        if (existing != null
+                && existing.server().startedEpochMillis() > server.startedEpochMillis()) {
             return;
         }
         missing.remove(server.id());
-        present.put(server.id(), server);
+        present.put(server.id(), registration);
         if (server.draining()) {
-            markDeparted(server.incarnation());
+            drained.put(server.incarnation(), true);
+        } else if (removed.containsKey(server.incarnation())) {
+            putAfterRemoval(registration, changed);
+        }
+    }
+
+    /** Ends the exclusion of a removed server if it has written its entry since it was removed. */
+    private void putAfterRemoval(Registration registration, boolean changed) {
+        Incarnation incarnation = registration.server().incarnation();
+        StorePosition before = removed.get(incarnation);
+        boolean sameHistory = before.isSameHistory(registration.written());
+        if (sameHistory ? registration.written().compareTo(before) > 0 : changed) {
+            removed.remove(incarnation);
+        } else if (!sameHistory) {
+            // A restored store lists the entry as it was before the removal.
+            removed.put(incarnation, registration.written());
         }
     }
 
     private void removeEntry(String id, long nowMillis) {
-        DirectServer server = present.remove(id);
-        if (server == null) {
+        Registration registration = present.remove(id);
+        if (registration == null) {
             return;
         }
         boolean mayReturn = storeUnavailable || nowMillis < graceEndMillis;
-        if (mayReturn && !server.draining()) {
-            missing.put(id, server);
+        if (mayReturn && !registration.server().draining()) {
+            missing.put(id, registration);
         } else {
-            markDeparted(server.incarnation());
+            markRemoved(registration);
         }
     }
 
-    private void markDeparted(Incarnation incarnation) {
-        if (departed.size() >= MAXIMUM_DEPARTED) {
-            Iterator<Incarnation> iterator = departed.iterator();
-            iterator.next();
-            iterator.remove();
-        }
-        departed.add(incarnation);
+    private void markRemoved(Registration registration) {
+        removed.put(registration.server().incarnation(), registration.written());
+    }
+
+    private boolean isExcluded(DirectServer server) {
+        return drained.containsKey(server.incarnation())
+                || removed.containsKey(server.incarnation());
     }
 
     private void rebuildUsable() {
-        List<DirectServer> servers = new ArrayList<>(present.values());
-        servers.addAll(missing.values());
-        servers.removeIf(server -> departed.contains(server.incarnation()));
-        servers.sort((a, b) -> a.id().compareTo(b.id()));
-        usable = List.copyOf(servers);
+        usable =
+                Stream.concat(present.values().stream(), missing.values().stream())
+                        .map(Registration::server)
+                        .filter(server -> !isExcluded(server))
+                        .sorted(Comparator.comparing(DirectServer::id))
+                        .toList();
     }
 }
