Give up request bodies that do not arrive by the deadline

Operators would have seen: an entry that cannot shut down before its grace period ends, and requests in flight that never end, as long as callers stop in the middle of a body. Class: a limit that begins after the wait it is to limit. Change: a body that has not arrived at the deadline is refused as not run (504), as no server could answer the request in time. Evidence: bodyThatDoesNotArriveByTheDeadlineIsGivenUp read nothing for 9 s before, and passes; DirectEntryTest passes.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -7,12 +7,14 @@
 import dev.foxtailshed.daemon.internal.http.HopByHopHeaders;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
+import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.DirectRoute;
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.http.HttpFields;
@@ -112,9 +114,12 @@
                 pending.withCallback(Callback.from(pending.callback(), exit.get()));
         CompletableFuture<Optional<byte[]>> bodyFuture =
                 BodyAccumulator.read(pending.request(), maximumBytes);
+        limitUntilDeadline(bodyFuture, matched);
         bodyFuture.whenComplete(
                 (body, failure) -> {
-                    if (failure != null) {
+                    if (failure instanceof TimeoutException) {
+                        refuse(tracked, ErrorCode.TIMEOUT, failure.getMessage());
+                    } else if (failure != null) {
                         String message = "the body could not be read: " + failure;
                         refuse(tracked, ErrorCode.INVALID_REQUEST, message);
                     } else if (body.isEmpty()) {
@@ -125,6 +130,22 @@
                 });
     }
 
+    /** Gives up a body that has not arrived by the deadline. */
+    private void limitUntilDeadline(
+            CompletableFuture<Optional<byte[]>> body, MatchedRequest matched) {
+        if (body.isDone()) {
+            return;
+        }
+        Subscription limit =
+                context.schedule(
+                        matched.deadlineMillis() - context.timer().nowMillis(),
+                        () ->
+                                body.completeExceptionally(
+                                        new TimeoutException(
+                                                "the body has not arrived by the deadline")));
+        body.whenComplete((bytes, failure) -> limit.cancel());
+    }
+
     private void createRequest(PendingResponse pending, MatchedRequest matched, byte[] body) {
         if (pending.requestId().isEmpty()) {
             refuse(pending, ErrorCode.INVALID_REQUEST, "the request has no attempt id");
