Name the parts of ServerDirectory that remember departed servers

Cause: read as a newcomer would, a map to true and a condition with two meanings stopped the reader. Measured: ServerDirectoryTest passes; decisions are as before.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -39,7 +40,7 @@
     private final Map<String, Registration> present = new HashMap<>();
     private final Map<String, Registration> missing = new HashMap<>();
     private final Map<Incarnation, StorePosition> removed = new DepartedServers<>();
-    private final Map<Incarnation, Boolean> drained = new DepartedServers<>();
+    private final Set<Incarnation> drained = Collections.newSetFromMap(new DepartedServers<>());
     private long graceEndMillis = Long.MIN_VALUE;
     private boolean storeUnavailable;
     private List<DirectServer> usable = List.of();
@@ -52,7 +53,7 @@
      */
     public record Registration(DirectServer server, StorePosition written) {}
 
-    /** What is remembered of servers that have left, without the eldest if there are too many. */
+    /** A map that forgets the servers that left first if there are too many. */
     private static final class DepartedServers<V> extends LinkedHashMap<Incarnation, V> {
         private static final long serialVersionUID = 1;
 
@@ -169,6 +170,7 @@
                 .toList();
     }
 
+    /** Puts an entry that was listed, or that was changed since the last list. */
     private void put(Registration registration, boolean changed) {
         DirectServer server = registration.server();
         Registration existing = present.get(server.id());
@@ -179,7 +181,7 @@
         missing.remove(server.id());
         present.put(server.id(), registration);
         if (server.draining()) {
-            drained.put(server.incarnation(), true);
+            drained.add(server.incarnation());
         } else if (removed.containsKey(server.incarnation())) {
             putAfterRemoval(registration, changed);
         }
@@ -189,12 +191,14 @@
     private void putAfterRemoval(Registration registration, boolean changed) {
         Incarnation incarnation = registration.server().incarnation();
         StorePosition before = removed.get(incarnation);
-        boolean sameHistory = before.isSameHistory(registration.written());
-        if (sameHistory ? registration.written().compareTo(before) > 0 : changed) {
+        StorePosition written = registration.written();
+        boolean writtenSince =
+                before.isSameHistory(written) ? written.compareTo(before) > 0 : changed;
+        if (writtenSince) {
             removed.remove(incarnation);
-        } else if (!sameHistory) {
+        } else if (!before.isSameHistory(written)) {
             // A restored store lists the entry as it was before the removal.
-            removed.put(incarnation, registration.written());
+            removed.put(incarnation, written);
         }
     }
 
@@ -216,8 +220,7 @@
     }
 
     private boolean isExcluded(DirectServer server) {
-        return drained.containsKey(server.incarnation())
-                || removed.containsKey(server.incarnation());
+        return drained.contains(server.incarnation()) || removed.containsKey(server.incarnation());
     }
 
     private void rebuildUsable() {
