--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -28,14 +28,26 @@
     ServerStandIn addServer(
             String id, String service, String stage, ServerStandIn.Behaviour behaviour)
             throws IOException {
-        boolean plain = stage == null;
-        ServerStandIn server =
-                new ServerStandIn(
-                        id, service, stage, plain ? 6 : 48, plain ? 43 : 60, record, behaviour);
+        ServerStandIn server = newServer(id, service, stage, behaviour, 0);
         store.put("servers", id, server.specification("a", "ready"));
         return server;
     }
 
+    /** Starts a server that has not registered itself yet, on a port, 0 for a free one. */
+    ServerStandIn newServer(
+            String id,
+            String service,
+            String stage,
+            ServerStandIn.Behaviour behaviour,
+            int port)
+            throws IOException {
+        boolean plain = stage == null;
+        int slots = plain ? 6 : 48;
+        long workMillis = plain ? 43 : 60;
+        return new ServerStandIn(
+                id, service, stage, slots, workMillis, record, behaviour, port);
+    }
+
     Entry startEntry(String name) throws IOException, InterruptedException {
         Entry entry = new Entry(name, directory);
         entry.start(store.address(), entries);
--- a/review/standins/Listener.java
+++ b/review/standins/Listener.java
@@ -3,14 +3,18 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A listener on a loopback port with a thread for each connection. */
 final class Listener implements AutoCloseable {
     private final ServerSocket listener;
     private final Handler handler;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
     /** Handles the requests of one connection; the connection closes if it returns false. */
     interface Handler {
@@ -19,8 +23,15 @@
     }
 
     Listener(Handler handler) throws IOException {
+        this(0, handler);
+    }
+
+    /** Listens on a port, 0 for a free one. */
+    Listener(int port, Handler handler) throws IOException {
         this.handler = handler;
-        this.listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        this.listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 200);
         start(this::accept, "accept");
     }
 
@@ -53,6 +64,7 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            open.add(socket);
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
@@ -66,6 +78,16 @@
             return;
         } catch (IOException | InterruptedException e) {
             return;
+        } finally {
+            open.remove(socket);
+        }
+    }
+
+    /** Closes the port and all channels, as the end of a process does. */
+    void crash() throws IOException {
+        listener.close();
+        for (Socket socket : open) {
+            socket.close();
         }
     }
 
--- a/review/standins/ServerStandIn.java
+++ b/review/standins/ServerStandIn.java
@@ -29,7 +29,7 @@
     private final Semaphore free;
     private final AtomicInteger present = new AtomicInteger();
     private final AtomicLong handles = new AtomicLong();
-    private final long born = System.currentTimeMillis();
+    private volatile long born = System.currentTimeMillis();
 
     /** What a server does differently from a sound one. */
     static class Behaviour {
@@ -47,7 +47,8 @@
             int slots,
             long workMillis,
             Record record,
-            Behaviour behaviour)
+            Behaviour behaviour,
+            int port)
             throws IOException {
         this.id = id;
         this.service = service;
@@ -57,13 +58,30 @@
         this.record = record;
         this.behaviour = behaviour;
         this.free = new Semaphore(slots, true);
-        this.listener = new Listener(this::handle);
+        this.listener = new Listener(port, this::handle);
     }
 
     String address() {
         return listener.address();
     }
 
+    int port() {
+        return listener.port();
+    }
+
+    /** Sets the start that the server states, which it has read from its machine's clock. */
+    void setBorn(long millis) {
+        born = millis;
+    }
+
+    long born() {
+        return born;
+    }
+
+    void crash() throws IOException {
+        listener.crash();
+    }
+
     String specification(String zone, String state) {
         return "{\"Service\":\"" + service + "\",\"Address\":\"" + address() + "\",\"Zone\":\""
                 + zone + "\",\"Version\":\"1\",\"Slots\":" + slots + ",\"State\":\"" + state
--- a/review/standins/StreamClient.java
+++ b/review/standins/StreamClient.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A client of streams that reads events as they arrive and keeps none of them. */
 final class StreamClient {
@@ -21,8 +22,14 @@
         this.bytesPerMilli = bytesPerMilli;
     }
 
-    /** Sends one request on a new channel and reads its answer until the deadline. */
+    /** Sends a request with a prompt of its own. */
     Record.Call send(String route, int deadlineMillis) {
+        String part = Long.toHexString(ThreadLocalRandom.current().nextLong() >>> 1);
+        return send(route, deadlineMillis, part, "prompt of " + part);
+    }
+
+    /** Sends one request on a new channel and reads its answer until the deadline. */
+    Record.Call send(String route, int deadlineMillis, String part, String body) {
         Record.Call call = record.sent(Client.newId(), route);
         long start = System.nanoTime();
         long bytes = 0;
@@ -34,8 +41,8 @@
                     "POST /" + route + "/x HTTP/1.1",
                     "Host: shop.example\r\nX-Attempt-Id: " + call.id + "\r\nX-Deadline-Ms: "
                             + deadlineMillis + "\r\nX-Model: m\r\nX-Token-Counts: 1000,100\r\n"
-                            + "X-Prompt-Prefix: " + call.id.substring(1) + ":1000\r\n",
-                    "prompt of " + call.id);
+                            + "X-Prompt-Prefix: " + part + ":1000\r\n",
+                    body);
             InputStream in = new BufferedInputStream(socket.getInputStream(), 16 << 10);
             Http.Message head = Http.readHead(in);
             if (head == null) {
