--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -49,9 +49,11 @@
     }
 
     Entry startEntry(String name) throws IOException, InterruptedException {
+        List<Entry> others = List.copyOf(entries);
         Entry entry = new Entry(name, directory);
-        entry.start(store.address(), entries);
+        // Before the start, so that a process that does not become ready is ended too.
         entries.add(entry);
+        entry.start(store.address(), others);
         record.line("entry " + name + " is ready");
         return entry;
     }
