Keep the loop running after an Error, and be ready only while it runs

Cause: SerialExecutor caught RuntimeException only. An Error of one task, such as an OutOfMemoryError, left the count of pending tasks above zero, so that no later task of the entry's loop ran, no deadline among them. Periodic tasks of the timer ended for good in the same way, and a result that could not be allocated left its future open.

Change: the loop and the timer go on after any failure of a task; the code that owes a result (store calls, control calls, requests to servers) gives one after an Error too; the log of unexpected failures throws nothing and keeps to its limit of lines. Readiness now requires that a task which the timer puts on the loop has run lately (LoopMonitor, event E9003), so that whatever else stops the loop doesn't leave an entry that looks sound.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/StoreCalls.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/StoreCalls.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -38,7 +39,7 @@
                 new BufferingResponseListener(maximumBodyBytes) {
                     @Override
                     public void onComplete(Result result) {
-                        future.complete(toEither(result, getContent(), reader));
+                        future.complete(toEither(result, this::getContent, reader));
                     }
                 });
         return future;
@@ -63,7 +64,7 @@
 
     private static <T> Either<StoreFailure, T> toEither(
             Result result,
-            byte[] content,
+            Supplier<byte[]> content,
             Function<StoreResponse, Either<StoreFailure, T>> reader) {
         if (result.isFailed()) {
             boolean unsent = result.getFailure() instanceof ConnectException;
@@ -72,10 +73,10 @@
             return Either.left(new StoreFailure(verdict, "no response from the store: " + cause));
         }
         try {
-            return reader.apply(new StoreResponse(result.getResponse(), content));
-        } catch (RuntimeException e) {
-            // JSON of another shape fails in many ways; without a result, callers would wait for
-            // ever.
+            return reader.apply(new StoreResponse(result.getResponse(), content.get()));
+        } catch (RuntimeException | Error e) {
+            // JSON of another shape fails in many ways, and a large one may not fit into memory;
+            // without a result, callers would wait for ever.
             return Either.left(
                     new StoreFailure(
                             StoreFailure.Kind.MALFORMED,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -100,7 +100,8 @@
     private final Server control = new Server(threads);
     private final ServerConnector connector;
     private final DeploymentView view;
-    private final SerialExecutor loop;
+    private final SerialExecutor loop = new SerialExecutor(threads);
+    private final LoopMonitor loopMonitor = new LoopMonitor(timer, loop);
     private final ServerRateLimits rateLimits =
             new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
     private final CrashGuard crashGuard;
@@ -117,7 +118,6 @@
         SharedStore store =
                 platform.openStore(
                         httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
-        loop = new SerialExecutor(threads);
         PeerExchange peers = new PeerExchange(httpClient, this::peerAddresses, random);
         view = new DeploymentView(platform, store, timer, loop, random, peers);
         DirectContext context =
@@ -196,6 +196,7 @@
             BackendHttpClients.disableResponseProcessing(httpClient);
             // Subscribes to the view before it has anything to report.
             flows.start();
+            loopMonitor.start();
             view.start();
             membership.start();
             crashGuard.start();
@@ -318,7 +319,7 @@
     }
 
     private boolean isReady() {
-        return !shuttingDown && view.isComplete();
+        return !shuttingDown && view.isComplete() && loopMonitor.isRunning();
     }
 
     private int entryCount() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
@@ -2,11 +2,13 @@
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol;
 import dev.foxtailshed.daemon.hosting.ServerProtocol.ControlCall;
+import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
@@ -61,16 +63,22 @@
                 new BufferingResponseListener(MAXIMUM_RESPONSE_BYTES) {
                     @Override
                     public void onComplete(Result result) {
-                        Reply reply = toReply(result, getContent());
+                        Reply reply = toReply(result, this::getContent);
                         context.runOnLoop(() -> next.accept(reply));
                     }
                 });
     }
 
-    private static Reply toReply(Result result, byte[] content) {
+    private static Reply toReply(Result result, Supplier<byte[]> content) {
         if (result.isFailed()) {
             return new Reply(0, new byte[0], result.getFailure() instanceof ConnectException);
         }
-        return new Reply(result.getResponse().getStatus(), content, false);
+        try {
+            return new Reply(result.getResponse().getStatus(), content.get(), false);
+        } catch (OutOfMemoryError e) {
+            // Without a reply, the caller's request would wait until its deadline.
+            EventLog.logUnexpected("control call", e);
+            return new Reply(0, new byte[0], false);
+        }
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventLog.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventLog.java
@@ -44,13 +44,28 @@
     }
 
     /**
-     * Writes {@link EventCode#INTERNAL_ERROR} with the stack trace of an unexpected exception.
+     * Writes {@link EventCode#INTERNAL_ERROR} with the stack trace of an unexpected exception or
+     * error, within the limit of lines for this event.
+     *
+     * <p>Throws nothing, so that the caller can go on: a line for which there is no memory counts
+     * as suppressed.
      *
      * @param where the part of the program in which it occurred
-     * @param cause the exception
+     * @param cause the exception or error
      */
     public static void logUnexpected(String where, Throwable cause) {
-        EventMessage message = new EventMessage(EventCode.INTERNAL_ERROR, Field.of("where", where));
-        Logger.error(cause, message.toString());
+        try {
+            writeUnexpected(where, cause);
+        } catch (RuntimeException | Error e) {
+            RATE_LIMITER.countSuppressed(EventCode.INTERNAL_ERROR);
+        }
+    }
+
+    private static void writeUnexpected(String where, Throwable cause) {
+        long suppressed = RATE_LIMITER.admit(EventCode.INTERNAL_ERROR, System.nanoTime());
+        if (suppressed >= 0) {
+            Field[] fields = withSuppressed(new Field[] {Field.of("where", where)}, suppressed);
+            Logger.error(cause, new EventMessage(EventCode.INTERNAL_ERROR, fields).toString());
+        }
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventRateLimiter.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventRateLimiter.java
@@ -38,6 +38,15 @@
         return windows.get(code).admit(nowNanos / NANOS_PER_SECOND);
     }
 
+    /**
+     * Counts a line that was admitted but could not be written.
+     *
+     * @param code the event
+     */
+    void countSuppressed(EventCode code) {
+        windows.get(code).suppressed.incrementAndGet();
+    }
+
     /** Counts the lines of one event in the current second. */
     private static final class Window {
         private final AtomicLong second = new AtomicLong(Long.MIN_VALUE);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ClientRequests.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ClientRequests.java
@@ -13,8 +13,8 @@
     /**
      * Sends a request.
      *
-     * <p>If the client throws an exception instead of reporting a result, the request is aborted
-     * and the exception becomes its result.
+     * <p>If the client throws an exception or error instead of reporting a result, the request is
+     * aborted and the failure becomes its result.
      *
      * @param request the request
      * @param listener receives the result, possibly before this method returns
@@ -22,7 +22,7 @@
     public static void send(Request request, Response.CompleteListener listener) {
         try {
             request.send(listener);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             EventLog.logUnexpected("request to " + request.getHost(), e);
             request.abort(e);
             listener.onComplete(new Result(request, e, null, null));
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
@@ -102,12 +102,13 @@
             demander.run();
             return;
         }
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
         try {
+            byte[] bytes = new byte[buffer.remaining()];
+            buffer.get(bytes);
             handler.onBytes(response, bytes, demander);
-        } catch (RuntimeException e) {
-            // A malformed response must not leave the exchange open forever.
+        } catch (RuntimeException | Error e) {
+            // A response that is malformed, or has no room, must not leave the exchange open
+            // forever.
             request.abort(e);
         }
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/serial/SerialExecutor.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/serial/SerialExecutor.java
@@ -9,8 +9,8 @@
 /**
  * An executor that runs its tasks one at a time, in order, on a shared thread pool.
  *
- * <p>Each request has its own, so that its state needs no lock. An exception of a task is logged
- * and does not prevent later tasks from running. Thread-safe.
+ * <p>Each request has its own, so that its state needs no lock. An exception or error of a task is
+ * logged and does not prevent later tasks from running. Thread-safe.
  */
 public final class SerialExecutor implements Executor {
 
@@ -18,6 +18,9 @@
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicInteger pending = new AtomicInteger();
 
+    /** Created in advance, as a failure to allocate it would leave the tasks without a thread. */
+    private final Runnable runner = this::runTasks;
+
     /**
      * Creates an executor without tasks.
      *
@@ -31,7 +34,7 @@
     public void execute(Runnable task) {
         tasks.add(task);
         if (pending.getAndIncrement() == 0) {
-            pool.execute(this::runTasks);
+            pool.execute(runner);
         }
     }
 
@@ -52,11 +55,16 @@
 
     private void runTasks() {
         do {
-            try {
-                tasks.remove().run();
-            } catch (RuntimeException e) {
-                EventLog.logUnexpected("request", e);
-            }
+            runNextTask();
         } while (pending.decrementAndGet() > 0);
     }
+
+    private void runNextTask() {
+        try {
+            tasks.remove().run();
+        } catch (Throwable e) {
+            // An Error must not leave the tasks after it waiting forever either.
+            EventLog.logUnexpected("request", e);
+        }
+    }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/timer/ExecutorTimerService.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/timer/ExecutorTimerService.java
@@ -9,7 +9,8 @@
 /**
  * A timer service that runs tasks on one thread and uses the JVM's monotonic clock.
  *
- * <p>An exception of a task is logged; a periodic task runs again in its next period. Thread-safe.
+ * <p>An exception or error of a task is logged; a periodic task runs again in its next period.
+ * Thread-safe.
  */
 public final class ExecutorTimerService implements TimerService, AutoCloseable {
 
@@ -39,17 +40,14 @@
     @Override
     public Subscription once(long delayMillis, Runnable task) {
         return subscription(
-                executor.schedule(catchingExceptions(task), delayMillis, TimeUnit.MILLISECONDS));
+                executor.schedule(catchingFailures(task), delayMillis, TimeUnit.MILLISECONDS));
     }
 
     @Override
     public Subscription every(long periodMillis, Runnable task) {
         return subscription(
                 executor.scheduleWithFixedDelay(
-                        catchingExceptions(task),
-                        periodMillis,
-                        periodMillis,
-                        TimeUnit.MILLISECONDS));
+                        catchingFailures(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS));
     }
 
     @Override
@@ -61,12 +59,12 @@
         return () -> future.cancel(false);
     }
 
-    private static Runnable catchingExceptions(Runnable task) {
+    private static Runnable catchingFailures(Runnable task) {
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
-                // After an exception, the executor would silently stop a periodic task.
+            } catch (Throwable e) {
+                // After an exception or error, the executor would silently stop a periodic task.
                 EventLog.logUnexpected("timer", e);
             }
         };
