Read servers no faster than callers, and bound the bytes of all responses

Cause: StreamRelay asked a server for more whatever its caller had read, and CallerStream kept up to 32 MB for each caller; BufferedFlow kept up to 8 MB for each response. A few of them fill a heap of 96 MB, and the process runs out of memory. The limits were those of one request; nothing bounded the sum.

Change: a stream's server is read only while less than 64 KB wait for its caller, so that a slow caller slows its own server through TCP; a server that isn't read doesn't count as stalled. All parts of responses that an entry holds count against one budget, a sixth of the heap (BufferBudget). When it is used up, the response that holds the most is given up: an attempt that is being buffered ends as broken, and may go on at another server; a caller that doesn't read is disconnected. Responses are kept in the parts in which they came, without copies. The entry with sidecars has the same budget. Replies to control calls are limited to 128 KB, as many may be in flight.

Responses that wait are shown by responses.bufferedBytes.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -64,6 +64,11 @@
         /** Called with the next bytes of the body. */
         void onBytes(byte[] bytes);
 
+        /** Calls back when there is room for the next bytes; the server is not read until then. */
+        default void whenWritable(Runnable next) {
+            next.run();
+        }
+
         /**
          * Called when a valid response ends with complete framing.
          *
@@ -127,6 +132,19 @@
         }
     }
 
+    /**
+     * Aborts the attempt soon, since its response holds the most memory of all; may be called on
+     * any thread.
+     */
+    void giveUpForMemory() {
+        context.loop()
+                .execute(
+                        () ->
+                                abort(
+                                        CallOutcome.BROKEN,
+                                        "the response is the largest, and memory is short"));
+    }
+
     DirectServer server() {
         return server;
     }
@@ -170,10 +188,11 @@
                 () -> {
                     if (forwarding && !ended) {
                         listener.onBytes(bytes);
+                        listener.whenWritable(next);
                     } else {
                         discard(bytes.length);
+                        next.run();
                     }
-                    next.run();
                 });
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
@@ -1,11 +1,13 @@
 package dev.foxtailshed.daemon.internal.direct;
 
 import dev.foxtailshed.daemon.internal.http.CallerStream;
+import dev.foxtailshed.daemon.internal.http.ResponseBuffers;
+import dev.foxtailshed.kernel.direct.BufferBudget;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.ServerHealth;
 import dev.foxtailshed.kernel.direct.ServerSelector;
-import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -20,7 +22,7 @@
  */
 final class BufferedFlow extends DirectFlow {
 
-    /** Largest response that is buffered; responses of plain services are small. */
+    /** Memory of the largest response that is buffered; responses of plain services are small. */
     private static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
 
     /**
@@ -83,26 +85,28 @@
             return;
         }
         if (outcome == CallOutcome.ANSWERED) {
-            sendResponse(attempt.status, attempt.headers, attempt.body.toByteArray());
+            sendResponse(attempt.status, attempt.headers, attempt.body);
             return;
         }
         switch (chooseAction(outcome)) {
             case TRY_ANOTHER -> begin();
-            case PASS_ON ->
-                    sendResponse(attempt.status, attempt.headers, attempt.body.toByteArray());
+            case PASS_ON -> sendResponse(attempt.status, attempt.headers, attempt.body);
             default -> fail(detail, outcome == CallOutcome.SILENT, retryDelayMillis());
         }
     }
 
     /** One attempt and the part of its response that has arrived. */
     private final class Attempt implements BackendCall.Listener {
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final List<byte[]> body = new ArrayList<>();
         private final BackendCall call;
+        private final BufferBudget.Account account;
+        private long heldBytes;
         private int status;
         private HttpFields headers = HttpFields.EMPTY;
 
         Attempt(DirectServer server) {
             call = new BackendCall(context, request, server, plainOptions(server), this);
+            account = context.responseBuffers().open(call::giveUpForMemory);
         }
 
         @Override
@@ -113,15 +117,18 @@
 
         @Override
         public void onBytes(byte[] bytes) {
-            if (body.size() + bytes.length > MAXIMUM_RESPONSE_BYTES) {
+            heldBytes += bytes.length + ResponseBuffers.PART_OVERHEAD_BYTES;
+            if (heldBytes > MAXIMUM_RESPONSE_BYTES) {
                 call.abort(CallOutcome.BROKEN, "the response is too large");
             } else {
-                body.writeBytes(bytes);
+                body.add(bytes);
+                account.resize(heldBytes);
             }
         }
 
         @Override
         public void onEnd(CallOutcome outcome, String detail) {
+            account.close();
             onAttemptEnd(this, outcome, detail);
         }
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
@@ -4,6 +4,7 @@
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.TimerService.Subscription;
+import dev.foxtailshed.kernel.direct.BufferBudget;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.ServerHealthRegistry;
 import dev.foxtailshed.kernel.direct.ServerRateLimits;
@@ -22,6 +23,7 @@
  * @param health the health of the backend servers
  * @param rateLimits the request rates that backend servers named
  * @param retryBudgets the retry budgets by service
+ * @param responseBuffers the memory for parts of responses
  * @param recorder the metrics and log events of requests
  * @param random supplies random numbers in [0, 1)
  */
@@ -34,6 +36,7 @@
         ServerHealthRegistry health,
         ServerRateLimits rateLimits,
         WindowedRetryBudgets retryBudgets,
+        BufferBudget responseBuffers,
         DirectRequestRecorder recorder,
         DoubleSupplier random) {
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -192,6 +192,7 @@
                             disconnected.set(true);
                             context.loop().execute(() -> cancel(flow));
                         },
+                        context.responseBuffers(),
                         ErrorBody::writeWithFractionalRetryAfter);
         context.runOnLoop(
                 () -> {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -12,11 +12,13 @@
 import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
 import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
 import dev.foxtailshed.daemon.internal.http.MetricsTextEndpoint;
+import dev.foxtailshed.daemon.internal.http.ResponseBuffers;
 import dev.foxtailshed.daemon.internal.role.RunningRole;
 import dev.foxtailshed.daemon.internal.role.SignalHandlers;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
 import dev.foxtailshed.daemon.internal.settings.SettingParsers;
 import dev.foxtailshed.daemon.internal.timer.ExecutorTimerService;
+import dev.foxtailshed.kernel.direct.BufferBudget;
 import dev.foxtailshed.kernel.direct.EntryOrder;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerHealthRegistry;
@@ -101,6 +103,7 @@
     private final ServerConnector connector;
     private final DeploymentView view;
     private final SerialExecutor loop = new SerialExecutor(threads);
+    private final BufferBudget responseBuffers = ResponseBuffers.newBudget();
     private final LoopMonitor loopMonitor = new LoopMonitor(timer, loop);
     private final ServerRateLimits rateLimits =
             new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
@@ -130,6 +133,7 @@
                         new ServerHealthRegistry(),
                         rateLimits,
                         new WindowedRetryBudgets(name -> newRetryBudget()),
+                        responseBuffers,
                         new DirectRequestRecorder(registry, timer, view::servers),
                         random);
         EngineControlClient controlClient = new EngineControlClient(context);
@@ -310,6 +314,8 @@
         registry.register("routes.version", version);
         Gauge<Integer> usable = () -> view.servers().all().size();
         registry.register("servers.usable", usable);
+        Gauge<Long> bufferedBytes = responseBuffers::usedBytes;
+        registry.register("responses.bufferedBytes", bufferedBytes);
         Gauge<Integer> limited = rateLimits::size;
         registry.register("servers.limited", limited);
         Gauge<Integer> patterns = crashGuard::patternCount;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -258,6 +258,16 @@
         caller.write(bytes);
     }
 
+    /** Calls back, on any thread, when the caller has read most of what was written. */
+    final void whenResponseWritable(Runnable next) {
+        caller.whenWritable(next);
+    }
+
+    /** Returns whether {@link #whenResponseWritable} waits for the caller to read. */
+    final boolean isWaitingForCaller() {
+        return caller.isProducerWaiting();
+    }
+
     /** Completes a streamed response. */
     final void endResponse(int status) {
         if (!finished) {
@@ -268,7 +278,7 @@
     }
 
     /** Sends a complete response of a server to the caller. */
-    final void sendResponse(int status, HttpFields headers, byte[] body) {
+    final void sendResponse(int status, HttpFields headers, List<byte[]> body) {
         if (!finished) {
             context.recorder().recordResponse(request, status);
             startResponse(status, headers);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
@@ -20,7 +20,8 @@
     /** Timeout of a control call; servers respond to these without queueing. */
     private static final long TIMEOUT_MILLIS = 600;
 
-    private static final int MAXIMUM_RESPONSE_BYTES = 1 << 20;
+    /** Largest reply; many calls may be in flight. */
+    private static final int MAXIMUM_RESPONSE_BYTES = 128 << 10;
 
     private final DirectContext context;
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -4,6 +4,7 @@
 import dev.foxtailshed.daemon.internal.direct.DirectRequestRecorder.StreamPosition;
 import dev.foxtailshed.daemon.internal.http.ResponseFraming;
 import dev.foxtailshed.kernel.TimerService.Subscription;
+import dev.foxtailshed.kernel.direct.BufferBudget;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.EventStreamSplitter;
@@ -47,6 +48,7 @@
     private final EventStreamSplitter splitter;
     private final Listener listener;
     private final BackendCall call;
+    private final BufferBudget.Account account;
     private final OptionalLong resumedAfter;
     private final long stallTimeoutMillis;
     private final ByteArrayOutputStream heldBody = new ByteArrayOutputStream();
@@ -90,6 +92,7 @@
                         MINIMUM_STALL_TIMEOUT_MILLIS,
                         STALL_TIMEOUT_GAPS * flow.request.route().targetGapMillis());
         this.call = new BackendCall(context, flow.request, server, options, this);
+        this.account = context.responseBuffers().open(call::giveUpForMemory);
     }
 
     void send() {
@@ -141,6 +144,10 @@
     }
 
     private void checkStall() {
+        if (flow.isWaitingForCaller()) {
+            // The server is silent because it is not read.
+            lastBytesMillis = context.timer().nowMillis();
+        }
         long remainingMillis = lastBytesMillis + stallTimeoutMillis - context.timer().nowMillis();
         if (remainingMillis > 0) {
             scheduleStallCheck(remainingMillis);
@@ -196,6 +203,7 @@
         } else {
             heldBody.writeBytes(bytes);
         }
+        account.resize(splitter.incompleteEvent().length + heldBody.size());
         if (splitter.misplacedEventId().isPresent()) {
             call.abort(
                     CallOutcome.BROKEN,
@@ -208,6 +216,11 @@
         }
     }
 
+    @Override
+    public void whenWritable(Runnable next) {
+        flow.whenResponseWritable(next);
+    }
+
     private void forwardEvents(byte[] events) {
         flow.writeResponse(events);
         if (!hasEvents && splitter.hasEventsOfRun()) {
@@ -218,6 +231,7 @@
 
     @Override
     public void onEnd(CallOutcome outcome, String detail) {
+        account.close();
         stallTimer.ifPresent(Subscription::cancel);
         boolean complete = outcome == CallOutcome.ANSWERED || outcome == CallOutcome.SERVER_ERROR;
         if (complete && !isEventStream) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/CallsEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/CallsEndpoint.java
@@ -90,7 +90,12 @@
         Runnable onPartEnded = context.inFlight().exitAfter(CompletionsEndpoint.PARTS_IN_FLIGHT);
         Callback answered = Callback.from(callback, onPartEnded);
         CallerStream caller =
-                new CallerStream(request, response, answered, flow::onCallerDisconnected);
+                new CallerStream(
+                        request,
+                        response,
+                        answered,
+                        flow::onCallerDisconnected,
+                        context.responseBuffers());
         CallAnswerWriter answer = new StreamingAnswerWriter(caller);
         if (keys.isEmpty() || call.get().route().repeatable()) {
             flow.start(answer, onPartEnded);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/CompletionsEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/CompletionsEndpoint.java
@@ -70,7 +70,12 @@
         Runnable onPartEnded = context.inFlight().exitAfter(PARTS_IN_FLIGHT);
         Callback answered = Callback.from(callback, onPartEnded);
         CallerStream caller =
-                new CallerStream(request, response, answered, flow::onCallerDisconnected);
+                new CallerStream(
+                        request,
+                        response,
+                        answered,
+                        flow::onCallerDisconnected,
+                        context.responseBuffers());
         flow.start(caller, onPartEnded);
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryContext.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryContext.java
@@ -2,10 +2,12 @@
 
 import dev.foxtailshed.daemon.internal.entry.EntryMetrics.MetricLabels;
 import dev.foxtailshed.daemon.internal.http.InFlightRequests;
+import dev.foxtailshed.daemon.internal.http.ResponseBuffers;
 import dev.foxtailshed.daemon.internal.manifest.ManifestHolder;
 import dev.foxtailshed.daemon.internal.record.RecordWriter;
 import dev.foxtailshed.kernel.AttemptId;
 import dev.foxtailshed.kernel.TimerService;
+import dev.foxtailshed.kernel.direct.BufferBudget;
 import dev.foxtailshed.kernel.routing.PrefixHints;
 import java.time.Clock;
 import java.util.concurrent.Executor;
@@ -33,6 +35,7 @@
     private final ServiceTimes serviceTimes = new ServiceTimes();
     private final RetryBudgets retryBudgets = new RetryBudgets();
     private final TokenEstimators tokenEstimators = new TokenEstimators();
+    private final BufferBudget responseBuffers = ResponseBuffers.newBudget();
     private final AtomicLong nextSequence = new AtomicLong(1);
 
     EntryContext(
@@ -74,6 +77,10 @@
         return manifests;
     }
 
+    BufferBudget responseBuffers() {
+        return responseBuffers;
+    }
+
     TimerService timer() {
         return timer;
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
@@ -1,11 +1,15 @@
 package dev.foxtailshed.daemon.internal.http;
 
 import dev.foxtailshed.kernel.RequestFailure;
+import dev.foxtailshed.kernel.direct.BufferBudget;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.NetworkChannel;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -24,19 +28,30 @@
  *
  * <p>Parts are queued and written in order, one write at a time. {@link #fail} sends an error
  * response as long as nothing has been written, and otherwise closes the connection abnormally, so
- * that an incomplete response never looks complete. Thread-safe.
+ * that an incomplete response never looks complete.
+ *
+ * <p>Parts that the caller has not read yet stay in memory and count against a budget. Whoever
+ * produces many parts asks {@link #whenWritable} before the next one, so that it produces them no
+ * faster than the caller reads. Thread-safe.
  */
 public final class CallerStream {
 
-    private static final long MAXIMUM_QUEUED_BYTES = 32L << 20;
+    /** Bytes that are not written yet above which a producer has to wait. */
+    static final long WRITABLE_BYTES = 64 << 10;
+
+    /** Parts are joined up to this size; larger ones are written as they are. */
+    private static final int MAXIMUM_JOINED_BYTES = 64 << 10;
 
     private final ErrorWriter errors;
     private final Response response;
     private final Callback callback;
     private final Runnable onDisconnect;
     private final CallerDisconnectDetector disconnectDetector;
+    private final BufferBudget.Account account;
     private final Queue<ByteBuffer> queue = new ArrayDeque<>();
-    private long queuedBytes;
+    private long unwrittenBytes;
+    private long bytesInWrite;
+    private Optional<Runnable> waitingProducer = Optional.empty();
     private boolean started;
     private boolean written;
     private HttpFields startHeaders = HttpFields.EMPTY;
@@ -52,10 +67,15 @@
      * @param response its response
      * @param callback succeeds when the response is complete, and fails if it cannot be completed
      * @param onDisconnect runs if the caller disconnects or reads too slowly, on any thread
+     * @param budget limits the bytes that all responses hold in memory
      */
     public CallerStream(
-            Request request, Response response, Callback callback, Runnable onDisconnect) {
-        this(request, response, callback, onDisconnect, ErrorBody::write);
+            Request request,
+            Response response,
+            Callback callback,
+            Runnable onDisconnect,
+            BufferBudget budget) {
+        this(request, response, callback, onDisconnect, budget, ErrorBody::write);
     }
 
     /**
@@ -65,6 +85,7 @@
      * @param response its response
      * @param callback succeeds when the response is complete, and fails if it cannot be completed
      * @param onDisconnect runs if the caller disconnects or reads too slowly, on any thread
+     * @param budget limits the bytes that all responses hold in memory
      * @param errors writes error responses
      */
     public CallerStream(
@@ -72,11 +93,13 @@
             Response response,
             Callback callback,
             Runnable onDisconnect,
+            BufferBudget budget,
             ErrorWriter errors) {
         this.errors = errors;
         this.response = response;
         this.callback = callback;
         this.onDisconnect = onDisconnect;
+        this.account = budget.open(this::giveUp);
         this.disconnectDetector = CallerDisconnectDetector.start(request, this::callerDisconnected);
     }
 
@@ -119,26 +142,65 @@
     /**
      * Queues a part of the body for writing.
      *
-     * <p>If the caller reads so slowly that too many bytes are queued, the connection is closed.
+     * <p>If the caller has not read so many bytes that the budget is exceeded, the connection is
+     * closed.
      *
      * @param bytes the part, which must not be modified afterwards
      */
     public void write(byte[] bytes) {
-        boolean overflow;
         synchronized (this) {
             if (closed || ending) {
                 return;
             }
-            queue.add(ByteBuffer.wrap(bytes));
-            queuedBytes += bytes.length;
-            overflow = queuedBytes > MAXIMUM_QUEUED_BYTES;
+            enqueue(bytes);
         }
-        if (overflow) {
-            breakConnection(new IOException("the caller reads too slowly"));
-            onDisconnect.run();
-        } else {
-            writeNext();
+        writeNext();
+        recordHeldBytes();
+    }
+
+    /**
+     * Calls back as soon as the caller has read most of what was written; at once if it has.
+     *
+     * <p>There is no call if the response ends before that.
+     *
+     * @param next produces the next part, on any thread
+     */
+    public void whenWritable(Runnable next) {
+        synchronized (this) {
+            if (unwrittenBytes > WRITABLE_BYTES) {
+                waitingProducer = closed ? Optional.empty() : Optional.of(next);
+                return;
+            }
         }
+        next.run();
+    }
+
+    /**
+     * Returns whether a producer waits until the caller has read more.
+     *
+     * @return true from {@link #whenWritable} until its callback runs or the response ends
+     */
+    public synchronized boolean isProducerWaiting() {
+        return waitingProducer.isPresent();
+    }
+
+    private void enqueue(byte[] bytes) {
+        queue.add(ByteBuffer.wrap(bytes));
+        unwrittenBytes += bytes.length + ResponseBuffers.PART_OVERHEAD_BYTES;
+    }
+
+    /** Must be called without locks, since other streams may have to give up their bytes. */
+    private void recordHeldBytes() {
+        account.resize(unwrittenBytes());
+    }
+
+    private synchronized long unwrittenBytes() {
+        return unwrittenBytes;
+    }
+
+    private void giveUp() {
+        breakConnection(new IOException("the caller reads too slowly for the memory that is left"));
+        onDisconnect.run();
     }
 
     /**
@@ -147,15 +209,24 @@
      * @param bytes the part, which must not be modified afterwards
      */
     public void endWith(byte[] bytes) {
+        endWith(List.of(bytes));
+    }
+
+    /**
+     * Queues the last parts of the body and completes the response once all parts are written.
+     *
+     * @param parts the parts, which must not be modified afterwards
+     */
+    public void endWith(List<byte[]> parts) {
         synchronized (this) {
             if (closed || ending) {
                 return;
             }
-            queue.add(ByteBuffer.wrap(bytes));
-            queuedBytes += bytes.length;
+            parts.forEach(this::enqueue);
             ending = true;
         }
         writeNext();
+        recordHeldBytes();
     }
 
     /** Completes the response once all parts are written. */
@@ -205,8 +276,7 @@
             if (closed || ending) {
                 return;
             }
-            queue.add(ByteBuffer.wrap(lastPart));
-            queuedBytes += lastPart.length;
+            enqueue(lastPart);
             breakCause = new IOException("incomplete answer: " + failure.message());
             ending = true;
         }
@@ -224,8 +294,8 @@
                 part = null;
                 last = false;
             } else {
-                part = drainQueue();
-                last = ending && breakCause == null;
+                part = takeParts();
+                last = ending && breakCause == null && queue.isEmpty();
                 writing = true;
                 written = true;
                 closed = last;
@@ -235,31 +305,46 @@
             breakConnection(breakCause);
         } else if (last) {
             disconnectDetector.stop();
-            response.write(true, part, callback);
+            response.write(true, part, Callback.from(account::close, callback));
         } else {
             response.write(false, part, Callback.from(this::onPartWritten, this::onWriteFailed));
         }
     }
 
-    /** Removes and joins all queued parts, so that many small parts need only one write. */
-    private ByteBuffer drainQueue() {
-        if (queue.size() == 1) {
-            queuedBytes = 0;
-            return queue.remove();
+    /** Removes and joins the next queued parts, so that many small parts need only one write. */
+    private ByteBuffer takeParts() {
+        if (queue.isEmpty()) {
+            return BufferUtil.EMPTY_BUFFER;
         }
-        ByteBuffer joined = ByteBuffer.allocate((int) queuedBytes);
-        queue.forEach(joined::put);
-        queue.clear();
-        queuedBytes = 0;
-        joined.flip();
-        return joined.hasRemaining() ? joined : BufferUtil.EMPTY_BUFFER;
+        List<ByteBuffer> parts = new ArrayList<>();
+        int joinedBytes = 0;
+        do {
+            joinedBytes += queue.peek().remaining();
+            parts.add(queue.remove());
+        } while (!queue.isEmpty()
+                && joinedBytes + queue.peek().remaining() <= MAXIMUM_JOINED_BYTES);
+        bytesInWrite = joinedBytes + (long) parts.size() * ResponseBuffers.PART_OVERHEAD_BYTES;
+        if (parts.size() == 1) {
+            return parts.get(0);
+        }
+        ByteBuffer joined = ByteBuffer.allocate(joinedBytes);
+        parts.forEach(joined::put);
+        return joined.flip();
     }
 
     private void onPartWritten() {
+        Optional<Runnable> producer = Optional.empty();
         synchronized (this) {
             writing = false;
+            unwrittenBytes -= bytesInWrite;
+            if (unwrittenBytes <= WRITABLE_BYTES) {
+                producer = waitingProducer;
+                waitingProducer = Optional.empty();
+            }
         }
         writeNext();
+        recordHeldBytes();
+        producer.ifPresent(Runnable::run);
     }
 
     private void onWriteFailed(Throwable cause) {
@@ -304,7 +389,9 @@
             }
             closed = true;
             queue.clear();
+            waitingProducer = Optional.empty();
         }
+        account.close();
         disconnectDetector.stop();
         if (isEndedByConnection()) {
             resetOnClose(cause);
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/CallerStreamTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/CallerStreamTest.java
@@ -71,7 +71,9 @@
     }
 
     private boolean respondAsynchronously(Request request, Response response, Callback callback) {
-        CallerStream caller = new CallerStream(request, response, callback, () -> {});
+        CallerStream caller =
+                new CallerStream(
+                        request, response, callback, () -> {}, ResponseBuffers.newBudget());
         pool.execute(
                 () -> {
                     caller.start(200, HttpFields.EMPTY);
