Read the entries of the store one by one, however odd one of them is

Cause: one entry of another program, with a field nested 300 levels deep, made the whole response of the store unreadable, since Gson refuses more than 255 levels anywhere in a document. Every later list failed in the same way, with one line in the log for all of them; an entry that started meanwhile never became ready.

A record of another program among the entries' records no longer counts as an entry, and one in place of the lease no longer stops the coordinator of stages. A list that cannot be read at all is logged each time (E3007).

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CollectionWatcher.java
@@ -131,6 +131,7 @@
             Optional<StorePosition> first,
             List<StoreEntry> entries) {
         if (read.isLeft()) {
+            logIfUnreadable(read.getLeft());
             retry(read.getLeft(), this::list);
             return;
         }
@@ -296,6 +297,15 @@
                 Field.of("cause", failure.message()));
     }
 
+    private void logIfUnreadable(StoreFailure failure) {
+        if (failure.kind() == StoreFailure.Kind.MALFORMED) {
+            EventLog.log(
+                    EventCode.STORE_LIST_UNREADABLE,
+                    Field.of("collection", collection),
+                    Field.of("cause", failure.message()));
+        }
+    }
+
     private void logUnreadable(int count) {
         EventLog.log(
                 EventCode.STORE_ENTRY_UNREADABLE,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EntryMembership.java
@@ -156,12 +156,20 @@
 
     private void publish(List<StoreEntry> entries) {
         Map<String, Long> revisions = new HashMap<>();
-        entries.forEach(entry -> revisions.put(entry.name(), entry.position().revision()));
+        Map<String, InetSocketAddress> addressesByName = new HashMap<>();
+        for (StoreEntry entry : entries) {
+            Optional<InetSocketAddress> address = addressOf(entry);
+            if (address.isPresent()) {
+                // A record without an address is that of another program.
+                revisions.put(entry.name(), entry.position().revision());
+                addressesByName.put(entry.name(), address.get());
+            }
+        }
         List<String> live = liveness.update(revisions, timer.nowMillis());
         List<InetSocketAddress> addresses = new ArrayList<>();
         for (StoreEntry entry : entries) {
             if (live.contains(entry.name()) && !entry.name().equals(settings.instance())) {
-                addressOf(entry).ifPresent(addresses::add);
+                addresses.add(addressesByName.get(entry.name()));
                 mergeAttachment(entry);
             }
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PeerExchange.java
@@ -2,8 +2,7 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
+import dev.foxtailshed.daemon.hosting.BoundedJson;
 import dev.foxtailshed.daemon.hosting.JsonFields;
 import dev.foxtailshed.daemon.hosting.StoreCollection;
 import dev.foxtailshed.daemon.hosting.StoreEntry;
@@ -15,7 +14,6 @@
 import dev.foxtailshed.daemon.internal.http.ErrorBody;
 import dev.foxtailshed.kernel.direct.StorePosition;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -161,18 +159,17 @@
     private static Optional<Copy> read(
             StoreCollection collection, InetSocketAddress peer, byte[] content) {
         try {
-            String text = new String(content, StandardCharsets.UTF_8);
-            JsonFields root = JsonFields.of("", JsonParser.parseString(text));
+            JsonFields root = JsonFields.of("", BoundedJson.parse(content));
             List<StoreEntry> entries = new ArrayList<>();
             for (JsonFields entry : root.getObjects(ENTRIES)) {
                 entries.add(
                         new StoreEntry(
                                 entry.getString("name"),
                                 positionOf(entry),
-                                entry.getElement("body").getAsJsonObject()));
+                                entry.getObject("body").toJsonObject()));
             }
             return Optional.of(new Copy(entries, positionOf(root)));
-        } catch (JsonParseException | IllegalStateException | IllegalArgumentException e) {
+        } catch (IllegalArgumentException e) {
             EventLog.log(
                     EventCode.PEER_UNREADABLE,
                     Field.of("peer", peer),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
@@ -1,6 +1,8 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import dev.foxtailshed.daemon.hosting.SharedStore;
 import dev.foxtailshed.daemon.hosting.SharedStore.Lookup;
 import dev.foxtailshed.daemon.hosting.StoreCollection;
@@ -137,10 +139,20 @@
     }
 
     private static String holderOf(StoreEntry entry) {
-        return entry.body().has(HOLDER) ? entry.body().get(HOLDER).getAsString() : "";
+        return primitiveOf(entry, HOLDER).map(JsonPrimitive::getAsString).orElse("");
     }
 
     private static long grantsOf(StoreEntry entry) {
-        return entry.body().has(GRANTS) ? entry.body().get(GRANTS).getAsLong() : 0;
+        return primitiveOf(entry, GRANTS)
+                .filter(JsonPrimitive::isNumber)
+                .map(JsonPrimitive::getAsLong)
+                .orElse(0L);
+    }
+
+    /** Returns a field, or empty if another writer has left it out or given it another type. */
+    private static Optional<JsonPrimitive> primitiveOf(StoreEntry entry, String field) {
+        return Optional.ofNullable(entry.body().get(field))
+                .filter(JsonElement::isJsonPrimitive)
+                .map(JsonElement::getAsJsonPrimitive);
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -30,6 +30,10 @@
             3005, Level.WARN, "An entry of the store cannot be read and is ignored."),
     STORE_RESTORED(
             3006, Level.WARN, "The store was restored from a copy and lost its latest changes."),
+    STORE_LIST_UNREADABLE(
+            3007,
+            Level.ERROR,
+            "A list of the store cannot be read; nothing new is known until it can."),
     MEMBERSHIP_CHANGED(2301, Level.INFO, "The number of live entries changed."),
     MEMBERSHIP_NOT_WRITTEN(
             2302, Level.WARN, "This entry's membership record could not be written."),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/platform/PlatformJson.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/platform/PlatformJson.java
@@ -3,12 +3,16 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
+import dev.foxtailshed.daemon.hosting.BoundedJson;
+import dev.foxtailshed.daemon.hosting.JsonFields;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.daemon.internal.settings.SettingParsers;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Converts between the platform's JSON documents and values.
@@ -36,18 +40,31 @@
     static List<PlatformInstance> toInstances(byte[] body) {
         List<PlatformInstance> instances = new ArrayList<>();
         for (JsonElement element : requireArray(parseObject(body), "instances")) {
-            JsonObject object = element.getAsJsonObject();
-            instances.add(
-                    new PlatformInstance(
-                            object.get("name").getAsString(),
-                            object.get("role").getAsString(),
-                            object.get("zone").getAsString(),
-                            SettingParsers.address(object.get("address").getAsString()),
-                            object.get("state").getAsString().equals("leaving")));
+            tryToInstance(element).ifPresent(instances::add);
         }
         return List.copyOf(instances);
     }
 
+    /** Parses an instance; one that cannot be read must not hide the others. */
+    private static Optional<PlatformInstance> tryToInstance(JsonElement element) {
+        try {
+            JsonFields fields = JsonFields.of("instance", element);
+            return Optional.of(
+                    new PlatformInstance(
+                            fields.getString("name"),
+                            fields.getString("role"),
+                            fields.getString("zone"),
+                            SettingParsers.address(fields.getString("address")),
+                            fields.getString("state").equals("leaving")));
+        } catch (IllegalArgumentException e) {
+            EventLog.log(
+                    EventCode.STORE_ENTRY_UNREADABLE,
+                    Field.of("collection", "instances"),
+                    Field.of("cause", e.getMessage()));
+            return Optional.empty();
+        }
+    }
+
     static byte[] toBytes(List<PlatformInstance> instances) {
         JsonArray array = new JsonArray();
         for (PlatformInstance instance : instances) {
@@ -66,12 +83,7 @@
     }
 
     private static JsonObject parseObject(byte[] body) {
-        try {
-            return JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
-                    .getAsJsonObject();
-        } catch (JsonParseException | IllegalStateException e) {
-            throw new IllegalArgumentException("the platform's response is not a JSON object", e);
-        }
+        return JsonFields.of("the platform's response", BoundedJson.parse(body)).toJsonObject();
     }
 
     private static JsonArray requireArray(JsonObject root, String name) {
