Recognize requests that crash servers within their answer

Cause: DirectFlow took a response that had begun for proof that the request was harmless. A broken run was not recorded at all, and its first event cleared the traits of the request, so that neither the detector of crashes nor the finder of patterns ever saw it. Plain requests whose server ends within the body passed by in the same way.

Change: a crash now also has the requests that the server was answering, with the number of events that had arrived (BrokenRun). What tells a harmful request from the harmless ones beside it, and from those that meet several servers that are killed: it is broken off at about the same event of each run, and no server crashes without it meanwhile. BrokenRunPatternFinder blames the request of a caller after three crashes within its first two events, after four at about the same later event, and whole requests after five at any event, more than the servers that one request reaches in usual configurations. Parts of prompts are not blamed for runs, since they are in many harmless requests that run. Entries exchange runs and complete answers in notices of their own kind; those without runs are as before.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
@@ -80,7 +80,7 @@
 
     private void onAttemptEnd(Attempt attempt, CallOutcome outcome, String detail) {
         current = Optional.empty();
-        recordAttemptEnd(attempt.call, outcome, attempt.status != 0);
+        recordAttemptEnd(attempt.call, outcome, attempt.status != 0, 1);
         if (isFinished()) {
             return;
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
@@ -5,6 +5,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.DirectService;
+import dev.foxtailshed.kernel.suspects.BrokenRun;
 import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,8 +15,7 @@
 import org.eclipse.jetty.http.HttpFields;
 
 /**
- * Finds out whether a server has crashed when it breaks off requests that it had not begun to
- * answer.
+ * Finds out whether a server has crashed when it breaks off requests.
  *
  * <p>A server that refuses connections right afterwards, or has been replaced at its address, has
  * crashed. One that responds has only broken off single requests, and one that is silent may be cut
@@ -29,14 +29,22 @@
     private final DirectContext context;
     private final EngineControlClient controlClient;
     private final Listener listener;
-    private final Map<Incarnation, List<RequestTraits>> requestsByServer = new HashMap<>();
+    private final Map<Incarnation, BrokenWork> workByServer = new HashMap<>();
 
     /** Receives the crashes. */
     interface Listener {
-        /** Called when a server has crashed, with the requests that it had not begun to answer. */
-        void onCrash(DirectServer server, long crashedMillis, List<RequestTraits> requests);
+        /** Called when a server has crashed, with all that it broke off. */
+        void onCrash(DirectServer server, long crashedMillis, BrokenWork work);
     }
 
+    /**
+     * What a server broke off.
+     *
+     * @param requests the requests that it had not begun to answer
+     * @param runs the requests that it was answering
+     */
+    record BrokenWork(List<RequestTraits> requests, List<BrokenRun> runs) {}
+
     CrashDetector(DirectContext context, EngineControlClient controlClient, Listener listener) {
         this.context = context;
         this.controlClient = controlClient;
@@ -45,13 +53,22 @@
 
     /** Records that a server broke off a request before it began to answer it. */
     void recordBrokenStart(DirectServer server, RequestTraits request) {
-        List<RequestTraits> known = requestsByServer.get(server.incarnation());
-        if (known != null) {
-            known.add(request);
-            return;
-        }
-        requestsByServer.put(server.incarnation(), new ArrayList<>(List.of(request)));
-        scheduleCall(server, context.timer().nowMillis(), 0);
+        workOf(server).requests().add(request);
+    }
+
+    /** Records that a server broke off a request that it was answering. */
+    void recordBrokenRun(DirectServer server, BrokenRun run) {
+        workOf(server).runs().add(run);
+    }
+
+    /** Returns the work that a server broke off; at first, finds out whether it has crashed. */
+    private BrokenWork workOf(DirectServer server) {
+        return workByServer.computeIfAbsent(
+                server.incarnation(),
+                unused -> {
+                    scheduleCall(server, context.timer().nowMillis(), 0);
+                    return new BrokenWork(new ArrayList<>(), new ArrayList<>());
+                });
     }
 
     private void scheduleCall(DirectServer server, long brokenMillis, int call) {
@@ -83,9 +100,9 @@
             scheduleCall(server, brokenMillis, call + 1);
             return;
         }
-        List<RequestTraits> requests = requestsByServer.remove(server.incarnation());
+        BrokenWork work = workByServer.remove(server.incarnation());
         if (crashed) {
-            listener.onCrash(server, brokenMillis, requests);
+            listener.onCrash(server, brokenMillis, work);
         }
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -6,6 +6,7 @@
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
 import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.suspects.BrokenRun;
 import dev.foxtailshed.kernel.suspects.CrashPattern;
 import dev.foxtailshed.kernel.suspects.CrashingTraits;
 import dev.foxtailshed.kernel.suspects.RequestTrait;
@@ -38,7 +39,7 @@
     private static final long MAXIMUM_ANNOUNCE_DELAY_MILLIS = 200;
 
     /** Crashes that suffice for another entry to find a pattern. */
-    private static final int CRASHES_PER_PATTERN = 4;
+    private static final int CRASHES_PER_PATTERN = 5;
 
     private static final int REQUESTS_PER_CRASH = 2;
     private static final int MAXIMUM_PATTERNS = 8;
@@ -181,24 +182,55 @@
      * <p>A server that is leaving may end like this without a crash, so it blames no request.
      */
     void recordBrokenStart(RequestTraits request, DirectServer server) {
-        boolean leaving =
-                context.view().servers().forService(server.service()).stream()
-                        .noneMatch(other -> other.incarnation().equals(server.incarnation()));
-        if (!leaving) {
+        if (!isLeaving(server)) {
             detector.recordBrokenStart(server, request);
         }
     }
 
+    /** Records that a server that is not leaving broke off a request that it was answering. */
+    void recordBrokenRun(BrokenRun run, DirectServer server) {
+        if (!isLeaving(server)) {
+            detector.recordBrokenRun(server, run);
+        }
+    }
+
+    private boolean isLeaving(DirectServer server) {
+        return context.view().servers().forService(server.service()).stream()
+                .noneMatch(other -> other.incarnation().equals(server.incarnation()));
+    }
+
+    /** Records that a request was answered completely, and tells others if that clears it. */
+    void recordEnd(RequestTraits request) {
+        long endedMillis = nowMillis();
+        Set<RequestTrait> cleared = applyEnd(request.traits(), endedMillis);
+        if (!cleared.isEmpty()) {
+            announceEnd(cleared, endedMillis);
+        }
+    }
+
+    private void announceEnd(Set<RequestTrait> cleared, long endedMillis) {
+        notices.accept(new CrashNotice.Ended(List.copyOf(cleared), nowMillis() - endedMillis));
+    }
+
     @Override
-    public void onCrash(DirectServer server, long crashedMillis, List<RequestTraits> requests) {
+    public void onCrash(DirectServer server, long crashedMillis, CrashDetector.BrokenWork work) {
         long ageMillis = nowMillis() - crashedMillis;
         EventLog.log(
                 EventCode.SERVER_CRASHED,
                 Field.of("server", server.id()),
-                Field.of("requests", requests.stream().map(CrashGuard::labels).toList()),
+                Field.of("requests", work.requests().stream().map(CrashGuard::labels).toList()),
+                Field.of("runs", work.runs().stream().map(CrashGuard::describe).toList()),
                 Field.of("ageMillis", ageMillis));
-        applyCrash(new ServerCrash(server.incarnation(), crashedMillis, requests));
-        notices.accept(new CrashNotice.Crashed(server.incarnation(), requests, ageMillis));
+        applyCrash(
+                new ServerCrash(server.incarnation(), crashedMillis, work.requests(), work.runs()));
+        notices.accept(
+                new CrashNotice.Crashed(
+                        server.incarnation(), work.requests(), work.runs(), ageMillis));
+    }
+
+    /** Returns the traits of a run and the event at which it was broken off. */
+    private static String describe(BrokenRun run) {
+        return labels(run.request()) + "@" + run.events();
     }
 
     private static List<String> labels(RequestTraits request) {
@@ -209,10 +241,14 @@
     void onNotice(CrashNotice notice) {
         long observedMillis = nowMillis() - notice.ageMillis();
         if (notice instanceof CrashNotice.Crashed crashed) {
-            applyCrash(new ServerCrash(crashed.server(), observedMillis, crashed.requests()));
+            applyCrash(
+                    new ServerCrash(
+                            crashed.server(), observedMillis, crashed.requests(), crashed.runs()));
         } else if (notice instanceof CrashNotice.Began began) {
             unannounced.forEach(cleared -> began.traits().forEach(cleared::remove));
             applyStart(began.traits(), observedMillis);
+        } else if (notice instanceof CrashNotice.Ended ended) {
+            applyEnd(ended.traits(), observedMillis);
         }
     }
 
@@ -239,12 +275,27 @@
         crashingTraits
                 .findEarlierAnswers(crash)
                 .forEach((trait, began) -> announceLater(new HashSet<>(Set.of(trait)), began));
+        crashingTraits
+                .findEarlierEnds(crash)
+                .forEach((trait, ended) -> announceEnd(Set.of(trait), ended));
         updateEvidence();
     }
 
     private Set<RequestTrait> applyStart(List<RequestTrait> traits, long beganMillis) {
         List<CrashPattern> before = crashingTraits.patterns();
         Set<RequestTrait> cleared = crashingTraits.recordStart(traits, beganMillis, nowMillis());
+        recordCleared(cleared, before);
+        return cleared;
+    }
+
+    private Set<RequestTrait> applyEnd(List<RequestTrait> traits, long endedMillis) {
+        List<CrashPattern> before = crashingTraits.patterns();
+        Set<RequestTrait> cleared = crashingTraits.recordEnd(traits, endedMillis, nowMillis());
+        recordCleared(cleared, before);
+        return cleared;
+    }
+
+    private void recordCleared(Set<RequestTrait> cleared, List<CrashPattern> before) {
         for (CrashPattern pattern : before) {
             if (pattern.traits().stream().anyMatch(cleared::contains)) {
                 EventLog.log(
@@ -257,7 +308,6 @@
         if (!cleared.isEmpty()) {
             updateEvidence();
         }
-        return cleared;
     }
 
     /**
@@ -282,9 +332,14 @@
                                 .limit(REQUESTS_PER_CRASH)
                                 .toList();
                 requests.forEach(request -> seenTraits.addAll(request.traits()));
+                List<BrokenRun> runs =
+                        crash.runs().stream()
+                                .filter(run -> run.request().containsAll(pattern.traits()))
+                                .limit(REQUESTS_PER_CRASH)
+                                .toList();
                 crashes.add(
                         new CrashNotice.Crashed(
-                                crash.server(), requests, nowMillis - crash.crashedMillis()));
+                                crash.server(), requests, runs, nowMillis - crash.crashedMillis()));
             }
         }
         List<CrashNotice> all = new ArrayList<>();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.daemon.internal.direct;
 
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
+import dev.foxtailshed.kernel.suspects.BrokenRun;
 import dev.foxtailshed.kernel.suspects.RequestTrait;
 import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.io.IOException;
@@ -10,6 +11,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 
 /**
  * What an entry tells the others about crashes of servers.
@@ -18,6 +20,12 @@
  */
 sealed interface CrashNotice {
 
+    /** Kinds of notices on the wire; a crash without runs begins with the server's id instead. */
+    int CRASHED = 0;
+
+    int CRASHED_WITH_RUNS = 1;
+    int ENDED = 2;
+
     /** Returns how long ago the event was observed, in milliseconds. */
     long ageMillis();
 
@@ -33,13 +41,34 @@
      *
      * @param server the server
      * @param requests the requests that it had been asked to answer and had not begun to
+     * @param runs the requests that it was answering
      * @param ageMillis how long ago it crashed
      */
-    record Crashed(Incarnation server, List<RequestTraits> requests, long ageMillis)
+    record Crashed(
+            Incarnation server, List<RequestTraits> requests, List<BrokenRun> runs, long ageMillis)
             implements CrashNotice {
         @Override
         public CrashNotice olderBy(long millis) {
-            return new Crashed(server, requests, ageMillis + millis);
+            return new Crashed(server, requests, runs, ageMillis + millis);
+        }
+    }
+
+    /**
+     * A request was answered completely, so that it did not crash a server that was answering it.
+     *
+     * @param traits the traits that are no longer suspected
+     * @param ageMillis how long ago the answer ended
+     */
+    record Ended(List<RequestTrait> traits, long ageMillis) implements CrashNotice {
+
+        /** Copies the list. */
+        public Ended {
+            traits = List.copyOf(traits);
+        }
+
+        @Override
+        public CrashNotice olderBy(long millis) {
+            return new Ended(traits, ageMillis + millis);
         }
     }
 
@@ -97,15 +126,34 @@
     private static void pack(MessageBufferPacker packer, CrashNotice notice) throws IOException {
         packer.packLong(notice.ageMillis());
         if (notice instanceof Crashed crashed) {
+            if (!crashed.runs().isEmpty()) {
+                // Entries of earlier versions can read crashes without runs.
+                packer.packInt(CRASHED_WITH_RUNS);
+            }
             packer.packString(crashed.server().id());
             packer.packLong(crashed.server().startedEpochMillis());
             packer.packArrayHeader(crashed.requests().size());
             for (RequestTraits request : crashed.requests()) {
                 packTraits(packer, request.traits());
             }
+            if (!crashed.runs().isEmpty()) {
+                packRuns(packer, crashed.runs());
+            }
         } else if (notice instanceof Began began) {
             packer.packNil();
             packTraits(packer, began.traits());
+        } else if (notice instanceof Ended ended) {
+            packer.packInt(ENDED);
+            packTraits(packer, ended.traits());
+        }
+    }
+
+    private static void packRuns(MessageBufferPacker packer, List<BrokenRun> runs)
+            throws IOException {
+        packer.packArrayHeader(runs.size());
+        for (BrokenRun run : runs) {
+            packer.packInt(run.events());
+            packTraits(packer, run.request().traits());
         }
     }
 
@@ -114,13 +162,32 @@
         if (unpacker.tryUnpackNil()) {
             return new Began(unpackTraits(unpacker), ageMillis);
         }
+        boolean isString = unpacker.getNextFormat().getValueType() == ValueType.STRING;
+        int kind = isString ? CRASHED : unpacker.unpackInt();
+        if (kind == ENDED) {
+            return new Ended(unpackTraits(unpacker), ageMillis);
+        }
+        if (kind != CRASHED && kind != CRASHED_WITH_RUNS) {
+            throw new IllegalArgumentException("expected crash notices, found kind " + kind);
+        }
         Incarnation server = new Incarnation(unpacker.unpackString(), unpacker.unpackLong());
         List<RequestTraits> requests = new ArrayList<>();
         int count = unpacker.unpackArrayHeader();
         for (int i = 0; i < count; i++) {
             requests.add(new RequestTraits(unpackTraits(unpacker)));
         }
-        return new Crashed(server, requests, ageMillis);
+        List<BrokenRun> runs = kind == CRASHED_WITH_RUNS ? unpackRuns(unpacker) : List.of();
+        return new Crashed(server, requests, runs, ageMillis);
+    }
+
+    private static List<BrokenRun> unpackRuns(MessageUnpacker unpacker) throws IOException {
+        List<BrokenRun> runs = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            int events = unpacker.unpackInt();
+            runs.add(new BrokenRun(new RequestTraits(unpackTraits(unpacker)), events));
+        }
+        return runs;
     }
 
     private static void packTraits(MessageBufferPacker packer, List<RequestTrait> traits)
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
@@ -3,6 +3,7 @@
 import dev.foxtailshed.daemon.internal.direct.CrashGuard.Admission;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.suspects.BrokenRun;
 import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -46,6 +47,21 @@
         }
     }
 
+    /** Records that a server has answered the request completely. */
+    void recordCompleteAnswer() {
+        guard.recordEnd(traits());
+    }
+
+    /**
+     * Records that a server broke the connection while it was answering.
+     *
+     * @param server the server
+     * @param events the events of this attempt that had arrived, see {@link BrokenRun#events}
+     */
+    void recordBrokenRun(DirectServer server, int events) {
+        guard.recordBrokenRun(new BrokenRun(traits().wholeRequest(), events), server);
+    }
+
     /** Records that a server broke the connection before it began to answer. */
     void recordBrokenStart(DirectServer server) {
         guard.recordBrokenStart(traits(), server);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -165,14 +165,19 @@
      *
      * @param call the attempt
      * @param outcome the outcome
-     * @param begun whether the server had begun to answer
+     * @param begun whether any server had begun to answer
+     * @param events the events of this attempt that had arrived; 1 for the head of a response
+     *     without events
      */
-    final void recordAttemptEnd(BackendCall call, CallOutcome outcome, boolean begun) {
+    final void recordAttemptEnd(BackendCall call, CallOutcome outcome, boolean begun, int events) {
         verdict = verdict.or(outcome.verdict());
         if (outcome == CallOutcome.ANSWERED) {
             recordAnswer();
+            crashTracker.recordCompleteAnswer();
         } else if (!begun) {
             recordBrokenStart(call);
+        } else if (call.isConnectionLost()) {
+            crashTracker.recordBrokenRun(call.server(), events);
         }
         if (outcome == CallOutcome.UNREACHABLE) {
             // Nothing was sent, so the server does not count as one that got the request.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -258,7 +258,7 @@
     @Override
     public void onEnd(StreamRelay current, CallOutcome outcome, String detail) {
         relay = Optional.empty();
-        recordAttemptEnd(current.call(), outcome, splitter.hasEvents());
+        recordAttemptEnd(current.call(), outcome, splitter.hasEvents(), splitter.eventCountOfRun());
         reservationUsed = outcome != CallOutcome.REFUSED && outcome != CallOutcome.UNREACHABLE;
         if (isFinished()) {
             return;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/PlainStreamFlow.java
@@ -62,7 +62,7 @@
     @Override
     public void onEnd(StreamRelay relay, CallOutcome outcome, String detail) {
         current = Optional.empty();
-        recordAttemptEnd(relay.call(), outcome, splitter.hasEvents());
+        recordAttemptEnd(relay.call(), outcome, splitter.hasEvents(), splitter.eventCountOfRun());
         if (isFinished()) {
             return;
         }
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
@@ -5,6 +5,7 @@
 
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.PromptParts;
+import dev.foxtailshed.kernel.suspects.BrokenRun;
 import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.util.Arrays;
 import java.util.List;
@@ -24,8 +25,17 @@
                         List.of(
                                 RequestTraits.of(PromptParts.NONE, "d1", "d2"),
                                 RequestTraits.ofPrompt(new PromptParts(List.of("c")))),
+                        List.of(),
                         7),
-                new CrashNotice.Crashed(SERVER, List.of(), 0),
+                new CrashNotice.Crashed(SERVER, List.of(), List.of(), 0),
+                new CrashNotice.Crashed(
+                        SERVER,
+                        List.of(RequestTraits.ofPrompt(new PromptParts(List.of("c")))),
+                        List.of(
+                                new BrokenRun(RequestTraits.of(PromptParts.NONE, "d1", "d2"), 3),
+                                new BrokenRun(RequestTraits.of(PromptParts.NONE, "d3", "d4"), 0)),
+                        7),
+                new CrashNotice.Ended(RequestTraits.of(PromptParts.NONE, "d1", "d2").traits(), 3),
                 new CrashNotice.Began(
                         RequestTraits.of(new PromptParts(List.of("a", "b")), "d1", "d2").traits(),
                         3));
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EventStreamSplitter.java
@@ -113,7 +113,16 @@
      * @return true after the first one since {@link #startRun}
      */
     public boolean hasEventsOfRun() {
-        return eventCount > eventsBeforeRun;
+        return eventCountOfRun() > 0;
+    }
+
+    /**
+     * Returns the number of complete events that the current run has brought.
+     *
+     * @return the number of events since {@link #startRun}
+     */
+    public int eventCountOfRun() {
+        return eventCount - eventsBeforeRun;
     }
 
     /**
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
@@ -16,15 +16,17 @@
 
 /**
  * Decides which requests must not reach servers, since a trait of theirs crashes each server that
- * begins to answer them: a part of the prompt, or the request itself.
+ * begins to answer them: a part of the prompt, or the request itself; or since the request itself
+ * crashes each server at some event of the answer.
  *
  * <p>Example: <code>traits.recordCrash(crash, nowMillis); traits.findMatches(request)</code>.
  *
  * <p>Such requests come at all entries, so each entry sees only a few of the crashes. Entries
  * exchange the crashes and come to the same {@link CrashPattern} without a coordinator. A trait of
- * which an answer has begun after a crash did not cause it. A pattern ends when an answer begins in
- * spite of it: requests in flight may show that, and a trial is granted after a time that doubles
- * with each crash. Not thread-safe.
+ * which an answer has begun after a crash did not cause it, if the request had no answer at the
+ * time of the crash; a request that was being answered needs a complete answer for that. A pattern
+ * ends when such an answer comes in spite of it: requests in flight may show that, and a trial is
+ * granted after a time that doubles with each crash. Not thread-safe.
  */
 public final class CrashingTraits {
 
@@ -47,6 +49,7 @@
 
     private static final int MAXIMUM_CRASHES = 64;
     private static final int MAXIMUM_REQUESTS_PER_CRASH = 64;
+    private static final int MAXIMUM_RUNS_PER_CRASH = 64;
 
     /**
      * Traits whose last start is remembered, for crashes that are reported late and for requests
@@ -67,7 +70,13 @@
     /** When answers to requests with the traits of the recorded crashes last began. */
     private final Map<RequestTrait, Long> startedMillis = new HashMap<>();
 
-    private final Map<RequestTrait, Long> recentStartsMillis = new RecentStarts();
+    private final Map<RequestTrait, Long> recentStartsMillis = new RecentAnswers();
+
+    /** When the whole requests that the recorded crashes broke off were last answered. */
+    private final Map<RequestTrait, Long> endedMillis = new HashMap<>();
+
+    private final Map<RequestTrait, Long> recentEndsMillis = new RecentAnswers();
+
     private final Map<Set<RequestTrait>, Long> trialMillis = new HashMap<>();
     private volatile List<CrashPattern> patterns = List.of();
 
@@ -81,17 +90,18 @@
     public List<CrashPattern> recordCrash(ServerCrash crash, long nowMillis) {
         int known = indexOf(crash);
         if (known < 0) {
-            crashes.add(limitRequests(crash, crash.crashedMillis(), crash.requests()));
+            crashes.add(limit(crash, crash.crashedMillis(), crash.requests(), crash.runs()));
         } else {
             ServerCrash existing = crashes.get(known);
             Set<RequestTraits> all = new LinkedHashSet<>(existing.requests());
-            boolean moreRequests = all.addAll(crash.requests());
+            Set<BrokenRun> allRuns = new LinkedHashSet<>(existing.runs());
+            boolean moreRequests = all.addAll(crash.requests()) | allRuns.addAll(crash.runs());
             if (!moreRequests && crash.crashedMillis() >= existing.crashedMillis()) {
                 return List.of();
             }
             // A crash cannot be observed before it happens, so the earliest report is the best.
             long crashedMillis = Math.min(existing.crashedMillis(), crash.crashedMillis());
-            crashes.set(known, limitRequests(existing, crashedMillis, all));
+            crashes.set(known, limit(existing, crashedMillis, all, allRuns));
         }
         crashes.sort(Comparator.comparingLong(ServerCrash::crashedMillis));
         for (RequestTraits request : crash.requests()) {
@@ -102,6 +112,14 @@
                 }
             }
         }
+        for (BrokenRun run : crash.runs()) {
+            for (RequestTrait trait : run.request().traits()) {
+                Long ended = recentEndsMillis.get(trait);
+                if (ended != null) {
+                    endedMillis.merge(trait, ended, Math::max);
+                }
+            }
+        }
         return update(nowMillis);
     }
 
@@ -152,6 +170,54 @@
         return cleared;
     }
 
+    /**
+     * Returns the whole requests that a crash broke off although they had been answered completely
+     * shortly before, which other entries may not know of.
+     *
+     * @param crash a recorded crash
+     * @return the traits and when their last answers ended, which {@link #recordEnd} takes
+     */
+    public Map<RequestTrait, Long> findEarlierEnds(ServerCrash crash) {
+        Map<RequestTrait, Long> ends = new HashMap<>();
+        for (BrokenRun run : crash.runs()) {
+            for (RequestTrait trait : run.request().traits()) {
+                Long ended = recentEndsMillis.get(trait);
+                if (ended != null && ended <= crash.crashedMillis() && refutesRun(ended, crash)) {
+                    ends.put(trait, ended);
+                }
+            }
+        }
+        return ends;
+    }
+
+    /**
+     * Records that a request was answered completely, so that it crashed no server while it was
+     * answered.
+     *
+     * @param traits the traits of the request
+     * @param ended when the answer ended
+     * @param nowMillis the current time
+     * @return the traits that had been suspected of a crash and are no longer
+     */
+    public Set<RequestTrait> recordEnd(
+            Collection<RequestTrait> traits, long ended, long nowMillis) {
+        Set<RequestTrait> cleared = new LinkedHashSet<>();
+        for (RequestTrait trait : traits) {
+            if (trait.kind() == Kind.PROMPT_PART) {
+                continue;
+            }
+            recentEndsMillis.merge(trait, ended, Math::max);
+            if (isSuspectedRunRefuted(trait, ended)) {
+                cleared.add(trait);
+                endedMillis.merge(trait, ended, Math::max);
+            }
+        }
+        if (!cleared.isEmpty()) {
+            update(nowMillis);
+        }
+        return cleared;
+    }
+
     /**
      * Returns the patterns that a request matches.
      *
@@ -227,12 +293,24 @@
         before.forEach(known::addAll);
         removeOldCrashes(nowMillis);
         startedMillis.keySet().removeIf(trait -> !isInCrash(trait));
-        patterns = List.copyOf(CrashPatternFinder.find(crashes, this::maySuspect, known));
+        endedMillis.keySet().removeIf(trait -> !isInBrokenRun(trait));
+        patterns = findPatterns(known);
         Set<Set<RequestTrait>> after = traitsOf(patterns);
         trialMillis.keySet().retainAll(after);
         return patterns.stream().filter(pattern -> !before.contains(pattern.traits())).toList();
     }
 
+    private List<CrashPattern> findPatterns(Set<RequestTrait> known) {
+        List<CrashPattern> found =
+                new ArrayList<>(CrashPatternFinder.find(crashes, this::maySuspect, known));
+        for (CrashPattern pattern : BrokenRunPatternFinder.find(crashes, this::mayBlameRun)) {
+            if (found.stream().noneMatch(other -> other.traits().equals(pattern.traits()))) {
+                found.add(pattern);
+            }
+        }
+        return List.copyOf(found);
+    }
+
     /**
      * Removes old crashes, and the oldest ones beyond the maximum number.
      *
@@ -267,6 +345,16 @@
         return began == null || !refutes(trait, began, crash);
     }
 
+    private boolean mayBlameRun(RequestTrait trait, ServerCrash crash) {
+        Long ended = endedMillis.get(trait);
+        return ended == null || !refutesRun(ended, crash);
+    }
+
+    /** Returns whether an answer that ended at a time shows that its request caused no crash. */
+    private static boolean refutesRun(long ended, ServerCrash crash) {
+        return ended + RECENT_ANSWER_MILLIS >= crash.crashedMillis();
+    }
+
     /** Returns whether an answer that began at a time shows that a trait did not cause a crash. */
     private static boolean refutes(RequestTrait trait, long beganMillis, ServerCrash crash) {
         return trait.kind() == Kind.PROMPT_PART
@@ -282,12 +370,26 @@
                 .anyMatch(request -> request.traits().contains(trait));
     }
 
+    /** Returns whether an answer that ended at a time refutes a suspicion of a broken run. */
+    private boolean isSuspectedRunRefuted(RequestTrait trait, long ended) {
+        return crashes.stream()
+                .filter(crash -> refutesRun(ended, crash) && mayBlameRun(trait, crash))
+                .flatMap(crash -> crash.runs().stream())
+                .anyMatch(run -> run.request().traits().contains(trait));
+    }
+
     private boolean isInCrash(RequestTrait trait) {
         return crashes.stream()
                 .flatMap(crash -> crash.requests().stream())
                 .anyMatch(request -> request.traits().contains(trait));
     }
 
+    private boolean isInBrokenRun(RequestTrait trait) {
+        return crashes.stream()
+                .flatMap(crash -> crash.runs().stream())
+                .anyMatch(run -> run.request().traits().contains(trait));
+    }
+
     private int indexOf(ServerCrash crash) {
         for (int i = 0; i < crashes.size(); i++) {
             ServerCrash other = crashes.get(i);
@@ -305,19 +407,23 @@
         return traits;
     }
 
-    private static ServerCrash limitRequests(
-            ServerCrash crash, long crashedMillis, Collection<RequestTraits> requests) {
+    private static ServerCrash limit(
+            ServerCrash crash,
+            long crashedMillis,
+            Collection<RequestTraits> requests,
+            Collection<BrokenRun> runs) {
         return new ServerCrash(
                 crash.server(),
                 crashedMillis,
-                requests.stream().distinct().limit(MAXIMUM_REQUESTS_PER_CRASH).toList());
+                requests.stream().distinct().limit(MAXIMUM_REQUESTS_PER_CRASH).toList(),
+                runs.stream().distinct().limit(MAXIMUM_RUNS_PER_CRASH).toList());
     }
 
-    /** A map that evicts the traits that have not been started for the longest time. */
-    private static final class RecentStarts extends LinkedHashMap<RequestTrait, Long> {
+    /** A map that evicts the traits that have not been answered for the longest time. */
+    private static final class RecentAnswers extends LinkedHashMap<RequestTrait, Long> {
         private static final long serialVersionUID = 1L;
 
-        RecentStarts() {
+        RecentAnswers() {
             super(16, 0.75f, true);
         }
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/ServerCrash.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/ServerCrash.java
@@ -11,12 +11,29 @@
  * @param crashedMillis when it crashed, on the clock of this process
  * @param requests the requests without a response, or without a first event of a stream, at the
  *     time of the crash
+ * @param runs the requests that the server was answering at the time of the crash
  */
-public record ServerCrash(Incarnation server, long crashedMillis, List<RequestTraits> requests) {
+public record ServerCrash(
+        Incarnation server,
+        long crashedMillis,
+        List<RequestTraits> requests,
+        List<BrokenRun> runs) {
 
-    /** Checks the server and copies the list. */
+    /** Checks the server and copies the lists. */
     public ServerCrash {
         Objects.requireNonNull(server, "server");
         requests = List.copyOf(requests);
+        runs = List.copyOf(runs);
+    }
+
+    /**
+     * Creates the crash of a server that was not answering any request.
+     *
+     * @param server the server
+     * @param crashedMillis when it crashed, on the clock of this process
+     * @param requests the requests without a response
+     */
+    public ServerCrash(Incarnation server, long crashedMillis, List<RequestTraits> requests) {
+        this(server, crashedMillis, requests, List.of());
     }
 }
