Bound the bytes of all requests' bodies together

Callers saw answers that were late, or status 500, when some dozen of them sent bodies of 4 MB at once (seen by the review). Cause: as for responses, each body had its limit, and nothing bounded the sum; a body was copied twice while it was read, so that a few fill a heap of 96 MB.

Change: bodies count against a budget of their own, a sixth of the heap, from the head of the request on if it names a length. A body that does not fit is read to its end without being kept, since a caller that is still sending would get no answer on a connection that is closed; then it is refused with 429 as not run, and a Retry-After. Requests that are under way are not given up for new ones. Bodies are kept in parts and joined once.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BufferedFlow.java
@@ -1,7 +1,7 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import dev.foxtailshed.daemon.internal.http.BufferBudgets;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
-import dev.foxtailshed.daemon.internal.http.ResponseBuffers;
 import dev.foxtailshed.kernel.direct.BufferBudget;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
@@ -117,7 +117,7 @@
 
         @Override
         public void onBytes(byte[] bytes) {
-            heldBytes += bytes.length + ResponseBuffers.PART_OVERHEAD_BYTES;
+            heldBytes += bytes.length + BufferBudgets.PART_OVERHEAD_BYTES;
             if (heldBytes > MAXIMUM_RESPONSE_BYTES) {
                 call.abort(CallOutcome.BROKEN, "the response is too large");
             } else {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.daemon.internal.direct;
 
 import dev.foxtailshed.daemon.internal.http.BodyAccumulator;
+import dev.foxtailshed.daemon.internal.http.BodyAccumulator.NoRoomException;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.ErrorBody;
@@ -8,6 +9,7 @@
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService.Subscription;
+import dev.foxtailshed.kernel.direct.BufferBudget;
 import dev.foxtailshed.kernel.direct.DirectRoute;
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
@@ -29,6 +31,9 @@
     /** Retry-After while no routes have been read yet; about the duration of a start. */
     private static final long STARTUP_RETRY_MILLIS = 500;
 
+    /** Retry-After while the bodies of other requests take all memory; about one such request. */
+    private static final long NO_ROOM_RETRY_MILLIS = 300;
+
     private final DirectContext context;
     private final FlowFactory flows;
     private final ShutdownGate gate;
@@ -110,15 +115,26 @@
             refuseDraining(pending);
             return;
         }
-        PendingResponse tracked =
-                pending.withCallback(Callback.from(pending.callback(), exit.get()));
+        BufferBudget.Account account = context.requestBuffers().open(() -> {});
+        Runnable atEnd =
+                () -> {
+                    account.close();
+                    exit.get().run();
+                };
+        PendingResponse tracked = pending.withCallback(Callback.from(pending.callback(), atEnd));
+        if (!account.tryGrowTo(Math.max(0, pending.request().getLength()))) {
+            // None of the body is kept, so that it does not take room from those that fit.
+            account.close();
+        }
         CompletableFuture<Optional<byte[]>> bodyFuture =
-                BodyAccumulator.read(pending.request(), maximumBytes);
+                BodyAccumulator.read(pending.request(), maximumBytes, account);
         limitUntilDeadline(bodyFuture, matched);
         bodyFuture.whenComplete(
                 (body, failure) -> {
                     if (failure instanceof TimeoutException) {
                         refuse(tracked, ErrorCode.TIMEOUT, failure.getMessage());
+                    } else if (failure instanceof NoRoomException) {
+                        refuseNoRoom(tracked);
                     } else if (failure != null) {
                         String message = "the body could not be read: " + failure;
                         refuse(tracked, ErrorCode.INVALID_REQUEST, message);
@@ -220,6 +236,15 @@
         refuse(pending, ErrorCode.TOO_LARGE, "the body is larger than " + maximumBytes + " bytes");
     }
 
+    /** Refuses a request whose body was discarded, as other bodies took all memory. */
+    private void refuseNoRoom(PendingResponse pending) {
+        refuse(
+                pending,
+                RequestFailure.notRun(
+                                ErrorCode.OVERLOADED, "no memory is left for the request's body")
+                        .retryAfter(NO_ROOM_RETRY_MILLIS));
+    }
+
     private void refuseDraining(PendingResponse pending) {
         refuse(
                 pending,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -6,13 +6,13 @@
 import dev.foxtailshed.daemon.hosting.SharedStore;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.http.BackendHttpClients;
+import dev.foxtailshed.daemon.internal.http.BufferBudgets;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.EndpointChain;
 import dev.foxtailshed.daemon.internal.http.HttpConnectors;
 import dev.foxtailshed.daemon.internal.http.JsonErrorHandler;
 import dev.foxtailshed.daemon.internal.http.MetricsEndpoint;
 import dev.foxtailshed.daemon.internal.http.MetricsTextEndpoint;
-import dev.foxtailshed.daemon.internal.http.ResponseBuffers;
 import dev.foxtailshed.daemon.internal.role.RunningRole;
 import dev.foxtailshed.daemon.internal.role.SignalHandlers;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
@@ -103,7 +103,8 @@
     private final ServerConnector connector;
     private final DeploymentView view;
     private final SerialExecutor loop = new SerialExecutor(threads);
-    private final BufferBudget responseBuffers = ResponseBuffers.newBudget();
+    private final BufferBudget requestBuffers = BufferBudgets.forRequests();
+    private final BufferBudget responseBuffers = BufferBudgets.forResponses();
     private final LoopMonitor loopMonitor = new LoopMonitor(timer, loop);
     private final ServerRateLimits rateLimits =
             new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
@@ -133,6 +134,7 @@
                         new ServerHealthRegistry(),
                         rateLimits,
                         new WindowedRetryBudgets(name -> newRetryBudget()),
+                        requestBuffers,
                         responseBuffers,
                         new DirectRequestRecorder(registry, timer, view::servers),
                         random);
@@ -314,6 +316,8 @@
         registry.register("routes.version", version);
         Gauge<Integer> usable = () -> view.servers().all().size();
         registry.register("servers.usable", usable);
+        Gauge<Long> bodyBytes = requestBuffers::usedBytes;
+        registry.register("requests.bufferedBytes", bodyBytes);
         Gauge<Long> bufferedBytes = responseBuffers::usedBytes;
         registry.register("responses.bufferedBytes", bufferedBytes);
         Gauge<Integer> limited = rateLimits::size;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryContext.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/EntryContext.java
@@ -1,8 +1,8 @@
 package dev.foxtailshed.daemon.internal.entry;
 
 import dev.foxtailshed.daemon.internal.entry.EntryMetrics.MetricLabels;
+import dev.foxtailshed.daemon.internal.http.BufferBudgets;
 import dev.foxtailshed.daemon.internal.http.InFlightRequests;
-import dev.foxtailshed.daemon.internal.http.ResponseBuffers;
 import dev.foxtailshed.daemon.internal.manifest.ManifestHolder;
 import dev.foxtailshed.daemon.internal.record.RecordWriter;
 import dev.foxtailshed.kernel.AttemptId;
@@ -35,7 +35,7 @@
     private final ServiceTimes serviceTimes = new ServiceTimes();
     private final RetryBudgets retryBudgets = new RetryBudgets();
     private final TokenEstimators tokenEstimators = new TokenEstimators();
-    private final BufferBudget responseBuffers = ResponseBuffers.newBudget();
+    private final BufferBudget responseBuffers = BufferBudgets.forResponses();
     private final AtomicLong nextSequence = new AtomicLong(1);
 
     EntryContext(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/CallerStream.java
@@ -186,7 +186,7 @@
 
     private void enqueue(byte[] bytes) {
         queue.add(ByteBuffer.wrap(bytes));
-        unwrittenBytes += bytes.length + ResponseBuffers.PART_OVERHEAD_BYTES;
+        unwrittenBytes += bytes.length + BufferBudgets.PART_OVERHEAD_BYTES;
     }
 
     /** Must be called without locks, since other streams may have to give up their bytes. */
@@ -323,7 +323,7 @@
             parts.add(queue.remove());
         } while (!queue.isEmpty()
                 && joinedBytes + queue.peek().remaining() <= MAXIMUM_JOINED_BYTES);
-        bytesInWrite = joinedBytes + (long) parts.size() * ResponseBuffers.PART_OVERHEAD_BYTES;
+        bytesInWrite = joinedBytes + (long) parts.size() * BufferBudgets.PART_OVERHEAD_BYTES;
         if (parts.size() == 1) {
             return parts.get(0);
         }
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/UnsendableRequestTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/UnsendableRequestTest.java
@@ -152,6 +152,7 @@
                 new ServerRateLimits(() -> 1, id -> 0),
                 new WindowedRetryBudgets(name -> new WindowedRetryBudget(1, () -> 10, 1_000)),
                 new BufferBudget(1_000),
+                new BufferBudget(1_000),
                 new DirectRequestRecorder(new MetricRegistry(), timer, () -> ServerCatalog.EMPTY),
                 () -> 0.5);
     }
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/CallerStreamTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/CallerStreamTest.java
@@ -73,7 +73,7 @@
     private boolean respondAsynchronously(Request request, Response response, Callback callback) {
         CallerStream caller =
                 new CallerStream(
-                        request, response, callback, () -> {}, ResponseBuffers.newBudget());
+                        request, response, callback, () -> {}, BufferBudgets.forResponses());
         pool.execute(
                 () -> {
                     caller.start(200, HttpFields.EMPTY);
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/BufferBudget.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/BufferBudget.java
@@ -81,14 +81,17 @@
         }
 
         /**
-         * Sets the bytes that are held unless they would exceed the limit.
+         * Raises the bytes that are held unless they would exceed the limit; never lowers them.
          *
          * @param newBytes the number of bytes to be held from now on
          * @return whether there is room for them
          */
-        public boolean tryResize(long newBytes) {
+        public boolean tryGrowTo(long newBytes) {
             synchronized (BufferBudget.this) {
-                if (!closed && usedBytes - bytes + newBytes > limitBytes) {
+                if (newBytes <= bytes) {
+                    return true;
+                }
+                if (closed || usedBytes - bytes + newBytes > limitBytes) {
                     return false;
                 }
                 setBytes(newBytes);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/BufferBudgetTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/BufferBudgetTest.java
@@ -54,12 +54,14 @@
     @Test
     void refusedSizeLeavesEarlierOneAndGivesUpNobody() {
         BufferBudget.Account account = open("first");
-        assertThat(account.tryResize(60)).isTrue();
-        assertThat(open("second").tryResize(41)).isFalse();
-        assertThat(account.tryResize(101)).isFalse();
+        assertThat(account.tryGrowTo(60)).isTrue();
+        assertThat(open("second").tryGrowTo(41)).isFalse();
+        assertThat(account.tryGrowTo(101)).isFalse();
 
         assertThat(budget.usedBytes()).isEqualTo(60);
-        assertThat(account.tryResize(100)).isTrue();
+        assertThat(account.tryGrowTo(100)).isTrue();
+        assertThat(account.tryGrowTo(10)).isTrue();
+        assertThat(budget.usedBytes()).isEqualTo(100);
         assertThat(givenUp).isEmpty();
     }
 
