--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -93,6 +93,7 @@
     private static final String STAGE_CHANGE_LEASE = "stage-orders";
 
     private final SettingsWatcher settings;
+    private final DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
     private final QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
     private final ExecutorTimerService timer = new ExecutorTimerService();
     private final HttpClient httpClient = BackendHttpClients.newClient();
@@ -118,7 +119,6 @@
     DirectEntry(DirectSettings initialSettings, HostingPlatform platform, Path file) {
         settings = new SettingsWatcher(file, initialSettings);
         threads.setName("direct");
-        DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
         SharedStore store =
                 platform.openStore(
                         httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
