Tell other entries only of requests that several crashes had broken off

Cause: found while reading the diff. After a server is killed, each of its streams is retried and answered, and each answer was announced to all other entries: with 48 streams and 350 entries some 17,000 messages for one kill.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
@@ -171,8 +171,8 @@
     }
 
     /**
-     * Returns the whole requests that a crash broke off although they had been answered completely
-     * shortly before, which other entries may not know of.
+     * Returns the whole requests that a crash broke off, not for the first time, although they had
+     * been answered completely shortly before, which other entries may not know of.
      *
      * @param crash a recorded crash
      * @return the traits and when their last answers ended, which {@link #recordEnd} takes
@@ -182,7 +182,10 @@
         for (BrokenRun run : crash.runs()) {
             for (RequestTrait trait : run.request().traits()) {
                 Long ended = recentEndsMillis.get(trait);
-                if (ended != null && ended <= crash.crashedMillis() && refutesRun(ended, crash)) {
+                if (ended != null
+                        && ended <= crash.crashedMillis()
+                        && refutesRun(ended, crash)
+                        && isInSeveralBrokenRuns(trait)) {
                     ends.put(trait, ended);
                 }
             }
@@ -197,7 +200,8 @@
      * @param traits the traits of the request
      * @param ended when the answer ended
      * @param nowMillis the current time
-     * @return the traits that had been suspected of a crash and are no longer
+     * @return the traits that had been suspected of several crashes and are no longer; other
+     *     entries need not know of one crash, after which most requests are retried and answered
      */
     public Set<RequestTrait> recordEnd(
             Collection<RequestTrait> traits, long ended, long nowMillis) {
@@ -215,6 +219,7 @@
         if (!cleared.isEmpty()) {
             update(nowMillis);
         }
+        cleared.removeIf(trait -> !isInSeveralBrokenRuns(trait));
         return cleared;
     }
 
@@ -385,9 +390,18 @@
     }
 
     private boolean isInBrokenRun(RequestTrait trait) {
+        return countBrokenRuns(trait) > 0;
+    }
+
+    private boolean isInSeveralBrokenRuns(RequestTrait trait) {
+        return countBrokenRuns(trait) > 1;
+    }
+
+    private long countBrokenRuns(RequestTrait trait) {
         return crashes.stream()
                 .flatMap(crash -> crash.runs().stream())
-                .anyMatch(run -> run.request().traits().contains(trait));
+                .filter(run -> run.request().traits().contains(trait))
+                .count();
     }
 
     private int indexOf(ServerCrash crash) {
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
@@ -111,6 +111,16 @@
         assertThat(isBlocked(DEADLY)).isEqualTo(blamed);
     }
 
+    /** Guards against a notice to all entries for each request that a crash broke off. */
+    @Test
+    void onlyRequestsSuspectedOfSeveralCrashesAreReportedAsCleared() {
+        crash(0, run(DEADLY, 5), run(SOUND, 9));
+        assertThat(traits.recordEnd(SOUND.traits(), 1_000, 1_000)).isEmpty();
+        crash(3_000, run(DEADLY, 30));
+        assertThat(traits.recordEnd(DEADLY.traits(), 4_000, 4_000))
+                .containsExactlyInAnyOrderElementsOf(DEADLY.wholeRequest().traits());
+    }
+
     @Test
     void answerThatOnlyBeganClearsNothing() {
         for (int i = 0; i < 3; i++) {
