--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
@@ -14,7 +14,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Tests which requests are blamed that servers were answering when they crashed. */
+/**
+ * Tests which requests {@link BrokenRunPatternFinder} blames that servers were answering when they
+ * crashed.
+ */
 class BrokenRunTest {
 
     private static final RequestTraits DEADLY = request("deadly", "caller");
