Do not keep a calling thread in the loop while tasks come without end

Nine plain requests, sent within 3.5 s, reached a server only when the first of three endless streams met its deadline, up to 5.6 s later. Cause: SerialExecutor.executeOrEnqueue runs tasks on the calling thread until none is left. Streams that send without end enqueue tasks without end when the machine is loaded, and the calling thread may be the one that reads half of the callers' connections, or fires the timers of all deadlines.

Change: a calling thread runs 32 tasks at most; then a thread of the pool takes over, in order.

Result: SerialExecutorTest.callingThreadIsNotKeptByTasksThatComeWithoutEnd failed before (the calling thread ran all tasks), passes now; two more cases hold the order and a stopped pool.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/serial/SerialExecutor.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/serial/SerialExecutor.java
@@ -4,6 +4,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -14,6 +15,12 @@
  */
 public final class SerialExecutor implements Executor {
 
+    /**
+     * Tasks that a calling thread runs in a row before the pool takes over. The thread may be the
+     * one that reads a connection or fires timers, and more tasks may come without end.
+     */
+    static final int MAXIMUM_TASKS_OF_CALLER = 32;
+
     private final Executor pool;
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicInteger pending = new AtomicInteger();
@@ -41,6 +48,8 @@
     /**
      * Runs a task on the calling thread if no task is running, and otherwise enqueues it.
      *
+     * <p>The calling thread also runs tasks that are enqueued meanwhile, up to a limit.
+     *
      * <p>Use it only on threads that may run any task and hold no lock, such as those that receive
      * messages: passing a message to another thread costs more than most tasks do.
      *
@@ -49,6 +58,21 @@
     public void executeOrEnqueue(Runnable task) {
         tasks.add(task);
         if (pending.getAndIncrement() == 0) {
+            runTasksOfCaller();
+        }
+    }
+
+    private void runTasksOfCaller() {
+        for (int i = 0; i < MAXIMUM_TASKS_OF_CALLER; i++) {
+            runNextTask();
+            if (pending.decrementAndGet() == 0) {
+                return;
+            }
+        }
+        try {
+            pool.execute(runner);
+        } catch (RejectedExecutionException e) {
+            // The pool has stopped, so that no further tasks are to be expected.
             runTasks();
         }
     }
