Count the crashes of servers that are lost at once as one for runs too

Cause: BrokenRunPatternFinder took a run that had begun for one that had been sent after the crash before. That holds for a request that is retried, not for requests with the same digests that run at several servers at the same time; three servers lost within milliseconds then counted as three crashes at the same event.

The log has CRASH_PATTERN_FOUND with a caller's digest, and three SERVER_CRASHED within 72 ms, each with a run of these digests broken off at event 1.

Change: a broken run has its duration. Crashes within 200 ms count once for a request, unless the run was sent after the crash before, within the difference at which entries observe a crash. So servers that a request crashes by being retried at once are still separate. "No server crashed without it meanwhile" now looks at the crashes themselves, so that two harmful requests at once are recognized as soon as one.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -228,9 +228,9 @@
                         server.incarnation(), work.requests(), work.runs(), ageMillis));
     }
 
-    /** Returns the traits of a run and the event at which it was broken off. */
+    /** Returns the traits of a run, and the event and the time at which it was broken off. */
     private static String describe(BrokenRun run) {
-        return labels(run.request()) + "@" + run.events();
+        return labels(run.request()) + "@" + run.events() + "/" + run.durationMillis() + "ms";
     }
 
     private static List<String> labels(RequestTraits request) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
@@ -153,6 +153,7 @@
         packer.packArrayHeader(runs.size());
         for (BrokenRun run : runs) {
             packer.packInt(run.events());
+            packer.packLong(run.durationMillis());
             packTraits(packer, run.request().traits());
         }
     }
@@ -185,7 +186,9 @@
         int count = unpacker.unpackArrayHeader();
         for (int i = 0; i < count; i++) {
             int events = unpacker.unpackInt();
-            runs.add(new BrokenRun(new RequestTraits(unpackTraits(unpacker)), events));
+            long durationMillis = unpacker.unpackLong();
+            RequestTraits request = new RequestTraits(unpackTraits(unpacker));
+            runs.add(new BrokenRun(request, events, durationMillis));
         }
         return runs;
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
@@ -57,9 +57,11 @@
      *
      * @param server the server
      * @param events the events of this attempt that had arrived, see {@link BrokenRun#events}
+     * @param durationMillis the time since the attempt was sent
      */
-    void recordBrokenRun(DirectServer server, int events) {
-        guard.recordBrokenRun(new BrokenRun(traits().wholeRequest(), events), server);
+    void recordBrokenRun(DirectServer server, int events, long durationMillis) {
+        guard.recordBrokenRun(
+                new BrokenRun(traits().wholeRequest(), events, durationMillis), server);
     }
 
     /** Records that a server broke the connection before it began to answer. */
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -177,7 +177,7 @@
         } else if (!begun) {
             recordBrokenStart(call);
         } else if (call.isConnectionLost()) {
-            crashTracker.recordBrokenRun(call.server(), events);
+            crashTracker.recordBrokenRun(call.server(), events, call.elapsedMillis());
         }
         if (outcome == CallOutcome.UNREACHABLE) {
             // Nothing was sent, so the server does not count as one that got the request.
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
@@ -32,8 +32,10 @@
                         SERVER,
                         List.of(RequestTraits.ofPrompt(new PromptParts(List.of("c")))),
                         List.of(
-                                new BrokenRun(RequestTraits.of(PromptParts.NONE, "d1", "d2"), 3),
-                                new BrokenRun(RequestTraits.of(PromptParts.NONE, "d3", "d4"), 0)),
+                                new BrokenRun(
+                                        RequestTraits.of(PromptParts.NONE, "d1", "d2"), 3, 250),
+                                new BrokenRun(
+                                        RequestTraits.of(PromptParts.NONE, "d3", "d4"), 0, 0)),
                         7),
                 new CrashNotice.Ended(RequestTraits.of(PromptParts.NONE, "d1", "d2").traits(), 3),
                 new CrashNotice.Began(
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/BrokenRun.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/BrokenRun.java
@@ -8,5 +8,6 @@
  * @param request the traits of the request
  * @param events the events of this run that had arrived; 0 if the run continues a stream and had
  *     brought none yet, and 1 if the beginning of a response without events had arrived
+ * @param durationMillis the time from sending the request to the server until it was broken off
  */
-public record BrokenRun(RequestTraits request, int events) {}
+public record BrokenRun(RequestTraits request, int events, long durationMillis) {}
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/BrokenRunPatternFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/BrokenRunPatternFinder.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.kernel.suspects.RequestTrait.Kind;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -46,15 +47,23 @@
     /** The same as a part of the number of events, as servers may put several tokens into one. */
     private static final int SAME_EVENT_DIVISOR = 16;
 
-    /** Crashes within this time may have a common cause, and count once. */
+    /**
+     * Crashes within this time may have a common cause, and count once, unless the request was sent
+     * to the second server after the first had crashed.
+     */
     private static final long COMMON_CAUSE_MILLIS = 200;
 
+    /** Difference between the times at which entries observe the same crash. */
+    private static final long OBSERVATION_TOLERANCE_MILLIS = 50;
+
     private BrokenRunPatternFinder() {}
 
     /** The crashes that broke off requests with a trait, oldest first. */
     private static final class Evidence {
         private final List<ServerCrash> crashes = new ArrayList<>();
+        private final BitSet crashNumbers = new BitSet();
         private final List<BegunRun> begunRuns = new ArrayList<>();
+        private long lastSeparateMillis;
         private int separateCrashes;
 
         /**
@@ -65,20 +74,27 @@
          */
         private record BegunRun(int crashNumber, int events) {}
 
-        void add(ServerCrash crash, int crashNumber, int events) {
-            boolean separate =
-                    crashes.isEmpty()
-                            || crash.crashedMillis() - last().crashedMillis() > COMMON_CAUSE_MILLIS;
+        void add(ServerCrash crash, int crashNumber, BrokenRun run) {
+            boolean separate = isSeparate(crash, run);
             crashes.add(crash);
-            if (events > 0) {
-                // A run that has begun elsewhere shows that it was sent after the other crash.
-                begunRuns.add(new BegunRun(crashNumber, events));
+            crashNumbers.set(crashNumber);
+            if (!separate) {
+                return;
+            }
+            separateCrashes++;
+            lastSeparateMillis = crash.crashedMillis();
+            if (run.events() > 0) {
+                begunRuns.add(new BegunRun(crashNumber, run.events()));
             }
-            separateCrashes += separate || events > 0 ? 1 : 0;
         }
 
-        ServerCrash last() {
-            return crashes.get(crashes.size() - 1);
+        private boolean isSeparate(ServerCrash crash, BrokenRun run) {
+            if (crashes.isEmpty()) {
+                return true;
+            }
+            long apartMillis = crash.crashedMillis() - lastSeparateMillis;
+            return apartMillis > COMMON_CAUSE_MILLIS
+                    || run.durationMillis() <= apartMillis + OBSERVATION_TOLERANCE_MILLIS;
         }
 
         boolean isSufficient(Kind kind) {
@@ -103,12 +119,15 @@
             List<BegunRun> latest = begunRuns.subList(size - runs, size);
             int most = latest.stream().mapToInt(BegunRun::events).max().orElse(0);
             int least = latest.stream().mapToInt(BegunRun::events).min().orElse(0);
-            int crashesMeanwhile =
-                    latest.get(runs - 1).crashNumber() - latest.get(0).crashNumber() + 1;
-            return crashesMeanwhile == runs
+            return isInAllCrashes(latest.get(0).crashNumber(), latest.get(runs - 1).crashNumber())
                     && most <= maximumEvents
                     && most - least <= Math.max(SAME_EVENT_TOLERANCE, most / SAME_EVENT_DIVISOR);
         }
+
+        /** Returns whether no crash from the first to the last one was without the trait. */
+        private boolean isInAllCrashes(int first, int last) {
+            return crashNumbers.nextClearBit(first) > last;
+        }
     }
 
     /**
@@ -124,11 +143,11 @@
         Map<RequestTrait, Evidence> evidence = new TreeMap<>();
         for (int number = 0; number < crashes.size(); number++) {
             ServerCrash crash = crashes.get(number);
-            for (BrokenRun run : latestOfEachRequest(crash.runs())) {
+            for (BrokenRun run : shortestOfEachRequest(crash.runs())) {
                 for (RequestTrait trait : run.request().traits()) {
                     if (trait.kind() != Kind.PROMPT_PART && suspected.test(trait, crash)) {
                         evidence.computeIfAbsent(trait, unused -> new Evidence())
-                                .add(crash, number, run.events());
+                                .add(crash, number, run);
                     }
                 }
             }
@@ -162,10 +181,16 @@
         return kept;
     }
 
-    /** Returns one run of each request, as one may be retried at the server that crashes. */
-    private static Collection<BrokenRun> latestOfEachRequest(List<BrokenRun> runs) {
-        Map<RequestTraits, BrokenRun> latest = new LinkedHashMap<>();
-        runs.forEach(run -> latest.put(run.request(), run));
-        return latest.values();
+    /**
+     * Returns the run of each request that was sent last. A caller may send the same request again
+     * while it runs, and only the last one may have been sent after the crash before.
+     */
+    private static Collection<BrokenRun> shortestOfEachRequest(List<BrokenRun> runs) {
+        Map<RequestTraits, BrokenRun> shortest = new LinkedHashMap<>();
+        for (BrokenRun run : runs) {
+            shortest.merge(
+                    run.request(), run, (a, b) -> a.durationMillis() <= b.durationMillis() ? a : b);
+        }
+        return shortest.values();
     }
 }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
@@ -23,6 +23,9 @@
     private static final RequestTraits DEADLY = request("deadly", "caller");
     private static final RequestTraits SOUND = request("sound", "caller");
 
+    /** The duration of a run where it makes no difference. */
+    private static final long RUN_MILLIS = 1_000;
+
     private final CrashingTraits traits = new CrashingTraits();
     private int servers;
 
@@ -41,7 +44,11 @@
     }
 
     private static BrokenRun run(RequestTraits request, int events) {
-        return new BrokenRun(request.wholeRequest(), events);
+        return run(request, events, RUN_MILLIS);
+    }
+
+    private static BrokenRun run(RequestTraits request, int events, long durationMillis) {
+        return new BrokenRun(request.wholeRequest(), events, durationMillis);
     }
 
     private boolean isBlocked(RequestTraits request) {
@@ -80,6 +87,45 @@
         assertThat(isBlocked(SOUND)).isFalse();
     }
 
+    /**
+     * Guards against blame of a caller's concurrent requests with the same content, each at another
+     * server, when all servers are lost at once.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 40})
+    void serversLostTogetherBlameNoRequest(int events) {
+        for (int i = 0; i < 6; i++) {
+            crash(20 * i, run(SOUND, events, 900 + 20 * i), run(SOUND, events + 1, 1_000));
+        }
+
+        assertThat(isBlocked(SOUND)).isFalse();
+    }
+
+    /** The request crashes each server within the time in which others may have a common cause. */
+    @ParameterizedTest
+    @CsvSource({"100, 90, 3", "100, 120, 3", "150, 10, 3", "60, 100, 3", "20, 80, 5"})
+    void requestThatIsSentAgainAtOnceIsBlamed(
+            long intervalMillis, long durationMillis, int expectedCrashes) {
+        int crashes = 0;
+        while (!isBlocked(DEADLY) && crashes < 20) {
+            crash(intervalMillis * crashes++, run(DEADLY, 1, durationMillis));
+        }
+
+        assertThat(crashes).isEqualTo(expectedCrashes);
+    }
+
+    /** Two requests with the same content crash two servers at once, again and again. */
+    @Test
+    void concurrentDeadlyRequestsAreBlamedAfterThreeSeparateCrashes() {
+        for (int i = 0; i < 3; i++) {
+            assertThat(isBlocked(DEADLY)).isFalse();
+            crash(3_000 * i, run(DEADLY, 1));
+            crash(3_000 * i + 5, run(DEADLY, 1));
+        }
+
+        assertThat(isBlocked(DEADLY)).isTrue();
+    }
+
     @Test
     void requestsThatRanBesideTheDeadlyOneAreServed() {
         for (int i = 0; i < 6; i++) {
