Include the parts of the prompt in the digests of a request

Callers whose requests have the same body, and differ in the prompt that their headers name, were taken for one request that comes again, so that the crashes that broke off several of them had all of them refused. Found while the failed run of PromptPartCrashTest was traced: its CRASH_PATTERN_FOUND names a digest that twelve requests with different last parts share.

Cause: RequestFingerprint was made for plain requests, and a model request is more than its target and body. Change: the digest of the content has the ids of the parts as well; a request that its caller sends again has the same ones.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/RequestFingerprint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/RequestFingerprint.java
@@ -9,7 +9,7 @@
 /**
  * Digests by which a request is recognized when it comes again under another id.
  *
- * @param content the digest of the method, host, target and body
+ * @param content the digest of the method, host, target, parts of the prompt and body
  * @param callerAndContent the digest of the caller's address and the content
  */
 record RequestFingerprint(String content, String callerAndContent) {
@@ -21,7 +21,10 @@
     static RequestFingerprint of(CallerRequest request) {
         // Without the port, which differs between the entries of a host without a load balancer.
         String host = request.route().host();
-        String content = digest(List.of(request.method(), host, request.target()), request.body());
+        // The ids of the parts come from a list that is separated by commas.
+        String prompt = String.join(",", request.attributes().promptParts().ids());
+        String content =
+                digest(List.of(request.method(), host, request.target(), prompt), request.body());
         return new RequestFingerprint(
                 content, digest(List.of(request.callerAddress(), content), new byte[0]));
     }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTrait.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTrait.java
@@ -18,7 +18,7 @@
     public enum Kind {
         /** A part of a prompt, which many requests may share. */
         PROMPT_PART(""),
-        /** The target and body of a request, whoever sends it. */
+        /** The target, prompt and body of a request, whoever sends it. */
         CONTENT("content:"),
         /** A request that one caller sends again. */
         CALLER_AND_CONTENT("caller:");
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTraits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTraits.java
@@ -23,8 +23,8 @@
      * Creates the traits of a request.
      *
      * @param prompt the parts of its prompt
-     * @param content the digest of its target and body
-     * @param callerAndContent the digest of its caller, target and body
+     * @param content the digest of its target, prompt and body
+     * @param callerAndContent the digest of its caller, target, prompt and body
      * @return the traits
      */
     public static RequestTraits of(PromptParts prompt, String content, String callerAndContent) {
