Do not blame a request that ran at several servers when all were lost

Callers saw a request refused with 503 "servers crash when they begin to answer this request" after two servers had been lost together, each with that request and no answer to it yet. Cause: the same as with runs that had begun. CrashPatternFinder counted two crashes within 200 ms as two if the same request was in both, as a retry; requests that look the same may as well have run at both when, for instance, their availability zone was lost. It has been so since crashes are recognized.

Change: a broken start has its duration, too, and counts as a retry only if it was sent after the crash before. Both finders ask ServerCrash and BrokenRun for that now. A crash keeps the last run of each request, so that many of one kind leave room for others. Notices of crashes have one format with durations; those of the version before can still be read.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashDetector.java
@@ -6,7 +6,6 @@
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.suspects.BrokenRun;
-import dev.foxtailshed.kernel.suspects.RequestTraits;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -43,7 +42,7 @@
      * @param requests the requests that it had not begun to answer
      * @param runs the requests that it was answering
      */
-    record BrokenWork(List<RequestTraits> requests, List<BrokenRun> runs) {}
+    record BrokenWork(List<BrokenRun> requests, List<BrokenRun> runs) {}
 
     CrashDetector(DirectContext context, EngineControlClient controlClient, Listener listener) {
         this.context = context;
@@ -52,8 +51,8 @@
     }
 
     /** Records that a server broke off a request before it began to answer it. */
-    void recordBrokenStart(DirectServer server, RequestTraits request) {
-        workOf(server).requests().add(request);
+    void recordBrokenStart(DirectServer server, BrokenRun run) {
+        workOf(server).requests().add(run);
     }
 
     /** Records that a server broke off a request that it was answering. */
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -181,9 +181,9 @@
      *
      * <p>A server that is leaving may end like this without a crash, so it blames no request.
      */
-    void recordBrokenStart(RequestTraits request, DirectServer server) {
+    void recordBrokenStart(BrokenRun run, DirectServer server) {
         if (!isLeaving(server)) {
-            detector.recordBrokenStart(server, request);
+            detector.recordBrokenStart(server, run);
         }
     }
 
@@ -218,7 +218,7 @@
         EventLog.log(
                 EventCode.SERVER_CRASHED,
                 Field.of("server", server.id()),
-                Field.of("requests", work.requests().stream().map(CrashGuard::labels).toList()),
+                Field.of("requests", work.requests().stream().map(CrashGuard::describe).toList()),
                 Field.of("runs", work.runs().stream().map(CrashGuard::describe).toList()),
                 Field.of("ageMillis", ageMillis));
         applyCrash(
@@ -323,15 +323,15 @@
             int count = pattern.crashes().size();
             for (ServerCrash crash :
                     pattern.crashes().subList(Math.max(0, count - CRASHES_PER_PATTERN), count)) {
-                List<RequestTraits> requests =
+                List<BrokenRun> requests =
                         crash.requests().stream()
                                 .filter(
-                                        request ->
-                                                request.traits().stream()
+                                        run ->
+                                                run.request().traits().stream()
                                                         .anyMatch(pattern.traits()::contains))
                                 .limit(REQUESTS_PER_CRASH)
                                 .toList();
-                requests.forEach(request -> seenTraits.addAll(request.traits()));
+                requests.forEach(run -> seenTraits.addAll(run.request().traits()));
                 List<BrokenRun> runs =
                         crash.runs().stream()
                                 .filter(run -> run.request().containsAll(pattern.traits()))
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
@@ -20,10 +20,12 @@
  */
 sealed interface CrashNotice {
 
-    /** Kinds of notices on the wire; a crash without runs begins with the server's id instead. */
-    int CRASHED = 0;
+    /**
+     * Kinds of notices on the wire. A crash from an entry of an earlier version begins with the
+     * server's id instead.
+     */
+    int CRASHED = 1;
 
-    int CRASHED_WITH_RUNS = 1;
     int ENDED = 2;
 
     /** Returns how long ago the event was observed, in milliseconds. */
@@ -45,7 +47,7 @@
      * @param ageMillis how long ago it crashed
      */
     record Crashed(
-            Incarnation server, List<RequestTraits> requests, List<BrokenRun> runs, long ageMillis)
+            Incarnation server, List<BrokenRun> requests, List<BrokenRun> runs, long ageMillis)
             implements CrashNotice {
         @Override
         public CrashNotice olderBy(long millis) {
@@ -126,19 +128,11 @@
     private static void pack(MessageBufferPacker packer, CrashNotice notice) throws IOException {
         packer.packLong(notice.ageMillis());
         if (notice instanceof Crashed crashed) {
-            if (!crashed.runs().isEmpty()) {
-                // Entries of earlier versions can read crashes without runs.
-                packer.packInt(CRASHED_WITH_RUNS);
-            }
+            packer.packInt(CRASHED);
             packer.packString(crashed.server().id());
             packer.packLong(crashed.server().startedEpochMillis());
-            packer.packArrayHeader(crashed.requests().size());
-            for (RequestTraits request : crashed.requests()) {
-                packTraits(packer, request.traits());
-            }
-            if (!crashed.runs().isEmpty()) {
-                packRuns(packer, crashed.runs());
-            }
+            packRuns(packer, crashed.requests());
+            packRuns(packer, crashed.runs());
         } else if (notice instanceof Began began) {
             packer.packNil();
             packTraits(packer, began.traits());
@@ -163,22 +157,33 @@
         if (unpacker.tryUnpackNil()) {
             return new Began(unpackTraits(unpacker), ageMillis);
         }
-        boolean isString = unpacker.getNextFormat().getValueType() == ValueType.STRING;
-        int kind = isString ? CRASHED : unpacker.unpackInt();
-        if (kind == ENDED) {
-            return new Ended(unpackTraits(unpacker), ageMillis);
-        }
-        if (kind != CRASHED && kind != CRASHED_WITH_RUNS) {
-            throw new IllegalArgumentException("expected crash notices, found kind " + kind);
+        if (unpacker.getNextFormat().getValueType() == ValueType.STRING) {
+            return unpackEarlierFormat(unpacker, ageMillis);
         }
+        int kind = unpacker.unpackInt();
+        return switch (kind) {
+            case CRASHED -> {
+                Incarnation server =
+                        new Incarnation(unpacker.unpackString(), unpacker.unpackLong());
+                yield new Crashed(server, unpackRuns(unpacker), unpackRuns(unpacker), ageMillis);
+            }
+            case ENDED -> new Ended(unpackTraits(unpacker), ageMillis);
+            default ->
+                    throw new IllegalArgumentException(
+                            "expected crash notices, found kind " + kind);
+        };
+    }
+
+    /** Unpacks a crash whose requests have no durations; each may be a retry. */
+    private static Crashed unpackEarlierFormat(MessageUnpacker unpacker, long ageMillis)
+            throws IOException {
         Incarnation server = new Incarnation(unpacker.unpackString(), unpacker.unpackLong());
-        List<RequestTraits> requests = new ArrayList<>();
+        List<BrokenRun> requests = new ArrayList<>();
         int count = unpacker.unpackArrayHeader();
         for (int i = 0; i < count; i++) {
-            requests.add(new RequestTraits(unpackTraits(unpacker)));
+            requests.add(new BrokenRun(new RequestTraits(unpackTraits(unpacker)), 0, 0));
         }
-        List<BrokenRun> runs = kind == CRASHED_WITH_RUNS ? unpackRuns(unpacker) : List.of();
-        return new Crashed(server, requests, runs, ageMillis);
+        return new Crashed(server, requests, List.of(), ageMillis);
     }
 
     private static List<BrokenRun> unpackRuns(MessageUnpacker unpacker) throws IOException {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
@@ -64,9 +64,14 @@
                 new BrokenRun(traits().wholeRequest(), events, durationMillis), server);
     }
 
-    /** Records that a server broke the connection before it began to answer. */
-    void recordBrokenStart(DirectServer server) {
-        guard.recordBrokenStart(traits(), server);
+    /**
+     * Records that a server broke the connection before it began to answer.
+     *
+     * @param server the server
+     * @param durationMillis the time since the attempt was sent
+     */
+    void recordBrokenStart(DirectServer server, long durationMillis) {
+        guard.recordBrokenStart(new BrokenRun(traits(), 0, durationMillis), server);
     }
 
     private RequestTraits traits() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -193,7 +193,7 @@
     /** Records a call that ended before an answer began, in case its server has crashed. */
     final void recordBrokenStart(BackendCall call) {
         if (call.isConnectionLost()) {
-            crashTracker.recordBrokenStart(call.server());
+            crashTracker.recordBrokenStart(call.server(), call.elapsedMillis());
         }
     }
 
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CrashNoticeTest.java
@@ -7,30 +7,37 @@
 import dev.foxtailshed.kernel.direct.PromptParts;
 import dev.foxtailshed.kernel.suspects.BrokenRun;
 import dev.foxtailshed.kernel.suspects.RequestTraits;
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 /** Tests the format of crash notices between entries. */
 class CrashNoticeTest {
 
     private static final Incarnation SERVER = new Incarnation("i-1", 1_000);
+    private static final RequestTraits PROMPT =
+            RequestTraits.ofPrompt(new PromptParts(List.of("c")));
 
     static Stream<CrashNotice> notices() {
         return Stream.of(
                 new CrashNotice.Crashed(
                         SERVER,
                         List.of(
-                                RequestTraits.of(PromptParts.NONE, "d1", "d2"),
-                                RequestTraits.ofPrompt(new PromptParts(List.of("c")))),
+                                new BrokenRun(
+                                        RequestTraits.of(PromptParts.NONE, "d1", "d2"), 0, 90),
+                                new BrokenRun(PROMPT, 0, 0)),
                         List.of(),
                         7),
                 new CrashNotice.Crashed(SERVER, List.of(), List.of(), 0),
                 new CrashNotice.Crashed(
                         SERVER,
-                        List.of(RequestTraits.ofPrompt(new PromptParts(List.of("c")))),
+                        List.of(new BrokenRun(PROMPT, 0, 12)),
                         List.of(
                                 new BrokenRun(
                                         RequestTraits.of(PromptParts.NONE, "d1", "d2"), 3, 250),
@@ -63,4 +70,22 @@
                     .hasMessageStartingWith("expected crash notices");
         }
     }
+
+    /** Entries are replaced one by one, and those of the version before name no durations. */
+    @Test
+    void decodesCrashesOfTheVersionBefore() throws IOException {
+        MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+        packer.packArrayHeader(1);
+        packer.packLong(7);
+        packer.packString(SERVER.id());
+        packer.packLong(SERVER.startedEpochMillis());
+        packer.packArrayHeader(1);
+        packer.packArrayHeader(1);
+        packer.packString("c");
+
+        assertThat(CrashNotice.decode(packer.toByteArray()))
+                .containsExactly(
+                        new CrashNotice.Crashed(
+                                SERVER, List.of(new BrokenRun(PROMPT, 0, 0)), List.of(), 7));
+    }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/BrokenRunPatternFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/BrokenRunPatternFinder.java
@@ -3,9 +3,7 @@
 import dev.foxtailshed.kernel.suspects.RequestTrait.Kind;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -47,15 +45,6 @@
     /** The same as a part of the number of events, as servers may put several tokens into one. */
     private static final int SAME_EVENT_DIVISOR = 16;
 
-    /**
-     * Crashes within this time may have a common cause, and count once, unless the request was sent
-     * to the second server after the first had crashed.
-     */
-    private static final long COMMON_CAUSE_MILLIS = 200;
-
-    /** Difference between the times at which entries observe the same crash. */
-    private static final long OBSERVATION_TOLERANCE_MILLIS = 50;
-
     private BrokenRunPatternFinder() {}
 
     /** The crashes that broke off requests with a trait, oldest first. */
@@ -75,7 +64,10 @@
         private record BegunRun(int crashNumber, int events) {}
 
         void add(ServerCrash crash, int crashNumber, BrokenRun run) {
-            boolean separate = isSeparate(crash, run);
+            boolean separate =
+                    crashes.isEmpty()
+                            || !crash.isShortlyAfter(lastSeparateMillis)
+                            || run.wasSentAfter(lastSeparateMillis, crash.crashedMillis());
             crashes.add(crash);
             crashNumbers.set(crashNumber);
             if (!separate) {
@@ -88,15 +80,6 @@
             }
         }
 
-        private boolean isSeparate(ServerCrash crash, BrokenRun run) {
-            if (crashes.isEmpty()) {
-                return true;
-            }
-            long apartMillis = crash.crashedMillis() - lastSeparateMillis;
-            return apartMillis > COMMON_CAUSE_MILLIS
-                    || run.durationMillis() <= apartMillis + OBSERVATION_TOLERANCE_MILLIS;
-        }
-
         boolean isSufficient(Kind kind) {
             return separateCrashes >= CRASHES_AT_ANY_EVENT
                     || kind == Kind.CALLER_AND_CONTENT
@@ -143,7 +126,7 @@
         Map<RequestTrait, Evidence> evidence = new TreeMap<>();
         for (int number = 0; number < crashes.size(); number++) {
             ServerCrash crash = crashes.get(number);
-            for (BrokenRun run : shortestOfEachRequest(crash.runs())) {
+            for (BrokenRun run : crash.runs()) {
                 for (RequestTrait trait : run.request().traits()) {
                     if (trait.kind() != Kind.PROMPT_PART && suspected.test(trait, crash)) {
                         evidence.computeIfAbsent(trait, unused -> new Evidence())
@@ -180,17 +163,4 @@
         }
         return kept;
     }
-
-    /**
-     * Returns the run of each request that was sent last. A caller may send the same request again
-     * while it runs, and only the last one may have been sent after the crash before.
-     */
-    private static Collection<BrokenRun> shortestOfEachRequest(List<BrokenRun> runs) {
-        Map<RequestTraits, BrokenRun> shortest = new LinkedHashMap<>();
-        for (BrokenRun run : runs) {
-            shortest.merge(
-                    run.request(), run, (a, b) -> a.durationMillis() <= b.durationMillis() ? a : b);
-        }
-        return shortest.values();
-    }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashPatternFinder.java
@@ -3,7 +3,6 @@
 import dev.foxtailshed.kernel.suspects.RequestTrait.Kind;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,13 +35,6 @@
      */
     private static final int CRASHES_FOR_SHARED_TRAIT = 3;
 
-    /**
-     * Crashes within this time count once, since servers that are lost together, as with their
-     * availability zone, have a common cause outside of the prompts. Not if the same request is in
-     * both, as it was sent to the second server after the first had crashed.
-     */
-    private static final long COMMON_CAUSE_MILLIS = 200;
-
     private CrashPatternFinder() {}
 
     /** The crashes in which a trait is suspected, as indices into the list of crashes. */
@@ -69,18 +61,15 @@
             ServerCrash counted = null;
             for (int i = crashes.nextSetBit(0); i >= 0; i = crashes.nextSetBit(i + 1)) {
                 ServerCrash crash = all.get(i);
-                if (counted == null || areSeparate(counted, crash)) {
+                if (counted == null
+                        || !crash.isShortlyAfter(counted.crashedMillis())
+                        || crash.brokeOffRetryAfter(counted)) {
                     separateCrashes++;
                     counted = crash;
                 }
             }
         }
 
-        private static boolean areSeparate(ServerCrash first, ServerCrash second) {
-            return second.crashedMillis() - first.crashedMillis() > COMMON_CAUSE_MILLIS
-                    || !Collections.disjoint(first.requests(), second.requests());
-        }
-
         private static Comparator<Evidence> byWeight() {
             return Comparator.<Evidence, Boolean>comparing(evidence -> !evidence.outerPart)
                     .thenComparing(evidence -> evidence.separateCrashes)
@@ -134,7 +123,8 @@
         // Sorted, so that all entries find the same patterns from the same crashes.
         Map<RequestTrait, Evidence> evidence = new TreeMap<>();
         for (int i = unexplained.nextSetBit(0); i >= 0; i = unexplained.nextSetBit(i + 1)) {
-            for (RequestTraits request : crashes.get(i).requests()) {
+            for (BrokenRun run : crashes.get(i).requests()) {
+                RequestTraits request = run.request();
                 for (int index = 0; index < request.traits().size(); index++) {
                     RequestTrait trait = request.traits().get(index);
                     if (suspected.test(trait, crashes.get(i))) {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
@@ -93,7 +93,7 @@
             crashes.add(limit(crash, crash.crashedMillis(), crash.requests(), crash.runs()));
         } else {
             ServerCrash existing = crashes.get(known);
-            Set<RequestTraits> all = new LinkedHashSet<>(existing.requests());
+            Set<BrokenRun> all = new LinkedHashSet<>(existing.requests());
             Set<BrokenRun> allRuns = new LinkedHashSet<>(existing.runs());
             boolean moreRequests = all.addAll(crash.requests()) | allRuns.addAll(crash.runs());
             if (!moreRequests && crash.crashedMillis() >= existing.crashedMillis()) {
@@ -104,8 +104,8 @@
             crashes.set(known, limit(existing, crashedMillis, all, allRuns));
         }
         crashes.sort(Comparator.comparingLong(ServerCrash::crashedMillis));
-        for (RequestTraits request : crash.requests()) {
-            for (RequestTrait trait : request.traits()) {
+        for (BrokenRun run : crash.requests()) {
+            for (RequestTrait trait : run.request().traits()) {
                 Long began = recentStartsMillis.get(trait);
                 if (began != null) {
                     startedMillis.merge(trait, began, Math::max);
@@ -132,8 +132,8 @@
      */
     public Map<RequestTrait, Long> findEarlierAnswers(ServerCrash crash) {
         Map<RequestTrait, Long> answers = new HashMap<>();
-        for (RequestTraits request : crash.requests()) {
-            for (RequestTrait trait : request.traits()) {
+        for (BrokenRun run : crash.requests()) {
+            for (RequestTrait trait : run.request().traits()) {
                 Long began = recentStartsMillis.get(trait);
                 if (began != null
                         && began <= crash.crashedMillis()
@@ -372,7 +372,7 @@
         return crashes.stream()
                 .filter(crash -> refutes(trait, beganMillis, crash) && maySuspect(trait, crash))
                 .flatMap(crash -> crash.requests().stream())
-                .anyMatch(request -> request.traits().contains(trait));
+                .anyMatch(run -> run.request().traits().contains(trait));
     }
 
     /** Returns whether an answer that ended at a time refutes a suspicion of a broken run. */
@@ -386,7 +386,7 @@
     private boolean isInCrash(RequestTrait trait) {
         return crashes.stream()
                 .flatMap(crash -> crash.requests().stream())
-                .anyMatch(request -> request.traits().contains(trait));
+                .anyMatch(run -> run.request().traits().contains(trait));
     }
 
     private boolean isInBrokenRun(RequestTrait trait) {
@@ -424,13 +424,17 @@
     private static ServerCrash limit(
             ServerCrash crash,
             long crashedMillis,
-            Collection<RequestTraits> requests,
+            Collection<BrokenRun> requests,
             Collection<BrokenRun> runs) {
         return new ServerCrash(
                 crash.server(),
                 crashedMillis,
-                requests.stream().distinct().limit(MAXIMUM_REQUESTS_PER_CRASH).toList(),
-                runs.stream().distinct().limit(MAXIMUM_RUNS_PER_CRASH).toList());
+                BrokenRun.latestOfEachRequest(requests).stream()
+                        .limit(MAXIMUM_REQUESTS_PER_CRASH)
+                        .toList(),
+                BrokenRun.latestOfEachRequest(runs).stream()
+                        .limit(MAXIMUM_RUNS_PER_CRASH)
+                        .toList());
     }
 
     /** A map that evicts the traits that have not been answered for the longest time. */
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingTraitsTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/CrashingTraitsTest.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,6 +18,9 @@
     private static final String DEADLY = "deadly";
     private static final long HOUR_MILLIS = 3_600_000;
 
+    /** The duration of a run that a server breaks off soon after it was sent. */
+    private static final long RUN_MILLIS = 100;
+
     private final CrashingTraits traits = new CrashingTraits();
     private int servers;
 
@@ -29,8 +33,9 @@
     }
 
     private void crashOf(String server, long atMillis, long nowMillis, RequestTraits... prompts) {
-        traits.recordCrash(
-                new ServerCrash(new Incarnation(server, 1), atMillis, List.of(prompts)), nowMillis);
+        List<BrokenRun> runs =
+                Stream.of(prompts).map(prompt -> new BrokenRun(prompt, 0, RUN_MILLIS)).toList();
+        traits.recordCrash(new ServerCrash(new Incarnation(server, 1), atMillis, runs), nowMillis);
     }
 
     private static RequestTraits request(String content, String caller) {
@@ -165,6 +170,25 @@
         assertThat(blocks(400, "f", "popular", "r9")).isFalse();
     }
 
+    /** Guards against blame of a request that ran at several servers when all were lost. */
+    @ParameterizedTest
+    @CsvSource({"400, 400, false", "400, 250, false", "100, 100, true", "2000, 100, true"})
+    void requestThatRanAtServersLostTogetherIsBlamedOnlyIfRetried(
+            long firstRunMillis, long secondRunMillis, boolean blamed) {
+        RequestTraits request = request("t", "alice");
+        long[] runs = {firstRunMillis, secondRunMillis};
+        for (int i = 0; i < runs.length; i++) {
+            traits.recordCrash(
+                    new ServerCrash(
+                            new Incarnation("s" + i, 1),
+                            120 * i,
+                            List.of(new BrokenRun(request, 0, runs[i]))),
+                    120 * i);
+        }
+
+        assertThat(blocks(121, request)).isEqualTo(blamed);
+    }
+
     /** The retry of a request crashed a second server within the time of a common cause. */
     @Test
     void blocksTheRequestThatCrashedTwoServersInAMoment() {
