--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/HttpExchangeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/HttpExchangeTest.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.daemon.internal.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import dev.foxtailshed.daemon.hosting.StoreCalls;
 import dev.foxtailshed.daemon.hosting.StoreFailure;
@@ -11,8 +12,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.junit.jupiter.api.Test;
 
 /** Guards against requests without a result, because the HTTP client failed to send them. */
@@ -40,6 +47,35 @@
         assertThat(result).isCompletedWithValueMatching(Either::isLeft);
     }
 
+    /**
+     * Guards against a control call that has two replies, so that the request which waits for it is
+     * granted two reservations and runs twice.
+     */
+    @Test
+    void requestThatFailsWhileItIsQueuedHasOneResult() throws Exception {
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(1);
+        transport.setConnectionPoolFactory(
+                destination ->
+                        new DuplexConnectionPool(destination, 1) {
+                            @Override
+                            public Connection acquire(boolean create) {
+                                throw new IllegalStateException("no connection can be acquired");
+                            }
+                        });
+        HttpClient client = new HttpClient(transport);
+        client.start();
+        List<Result> results = new CopyOnWriteArrayList<>();
+        try {
+            ClientRequests.send(client.newRequest("127.0.0.1", 1), results::add);
+            await().pollDelay(200, TimeUnit.MILLISECONDS).until(() -> !results.isEmpty());
+        } finally {
+            client.stop();
+        }
+
+        assertThat(results).hasSize(1);
+        assertThat(results.get(0).isFailed()).isTrue();
+    }
+
     /** Collects the failures of an exchange that gets no response. */
     private static final class FailureCollector implements HttpExchange.Handler {
         final List<RequestFailure> failures = new ArrayList<>();
