Log on which connection an attempt was sent, and how each attempt ended

Cause: of a request that was refused as not run, the log told the combined verdict only. Neither a late refusal on a connection that is used again nor an attempt that failed before it began could be told from other refusals. Change: ATTEMPT_FAILED has whether sending had begun, the local port and the number of requests that the connection had carried before; REQUEST_FAILED has the outcomes of all attempts at running the request. Measured: exchangeNamesItsConnectionAndTheRequestsBeforeIt passes; the other tests of HttpExchangeTest and UnsendableRequestTest as before.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -5,6 +5,7 @@
 import dev.foxtailshed.daemon.hosting.ServerProtocol.ResponseHead;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.http.HttpExchange;
+import dev.foxtailshed.daemon.internal.http.HttpExchange.ConnectionUse;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService.Subscription;
@@ -164,6 +165,11 @@
         return connectionLost;
     }
 
+    /** Returns the connection on which sending has begun, empty if it has not begun. */
+    Optional<ConnectionUse> connectionUse() {
+        return exchange.flatMap(HttpExchange::connectionUse);
+    }
+
     long elapsedMillis() {
         return context.timer().nowMillis() - startedMillis;
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -13,6 +13,7 @@
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -44,6 +45,7 @@
     private final CrashTracker crashTracker;
     private final Supplier<List<DirectServer>> servers;
     private final Set<Incarnation> tried = new HashSet<>();
+    private final List<CallOutcome> outcomes = new ArrayList<>();
     private Verdict verdict = Verdict.NOT_RUN;
     private int attempts;
     private boolean finished;
@@ -170,6 +172,7 @@
      *     without events
      */
     final void recordAttemptEnd(BackendCall call, CallOutcome outcome, boolean begun, int events) {
+        outcomes.add(outcome);
         verdict = verdict.or(outcome.verdict());
         if (outcome == CallOutcome.ANSWERED) {
             recordAnswer();
@@ -299,7 +302,7 @@
 
     private void fail(RequestFailure failure) {
         if (!finished) {
-            context.recorder().recordFailure(request, failure, attempts);
+            context.recorder().recordFailure(request, failure, attempts, outcomes);
             caller.fail(failure);
             close();
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -4,6 +4,7 @@
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.http.HttpExchange.ConnectionUse;
 import dev.foxtailshed.daemon.internal.http.ResponseFraming;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService;
@@ -11,6 +12,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerRateLimits;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -53,6 +55,11 @@
                 Field.of("fingerprint", RequestFingerprint.of(request).content()),
                 Field.of("promptParts", request.attributes().promptParts().ids()),
                 Field.of("tookMillis", call.elapsedMillis()),
+                Field.of("begun", call.connectionUse().isPresent()),
+                Field.of("localPort", call.connectionUse().map(ConnectionUse::localPort).orElse(0)),
+                Field.of(
+                        "earlierRequests",
+                        call.connectionUse().map(ConnectionUse::earlierRequests).orElse(0L)),
                 Field.of("serversPosition", servers.position()),
                 Field.of("serversAgeMillis", timer.nowMillis() - servers.readMillis()));
     }
@@ -177,8 +184,16 @@
         registry.counter("answers." + status).inc();
     }
 
-    /** Records that this entry failed a request with an error of its own. */
-    void recordFailure(CallerRequest request, RequestFailure failure, int attempts) {
+    /**
+     * Records that this entry failed a request with an error of its own.
+     *
+     * @param outcomes the outcomes of all attempts at running it, in the order of their ends
+     */
+    void recordFailure(
+            CallerRequest request,
+            RequestFailure failure,
+            int attempts,
+            List<CallOutcome> outcomes) {
         registry.counter("failures." + failure.code().label()).inc();
         EventLog.log(
                 EventCode.REQUEST_FAILED,
@@ -190,6 +205,7 @@
                 Field.of("verdict", failure.verdict().label()),
                 Field.of("message", failure.message()),
                 Field.of("attempts", attempts),
+                Field.of("outcomes", outcomes),
                 Field.of("retryAfterMillis", failure.retryAfterMillis().orElse(-1)),
                 Field.of("elapsedMillis", timer.nowMillis() - request.arrivedMillis()),
                 Field.of("remainingMillis", request.deadlineMillis() - timer.nowMillis()));
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
@@ -3,9 +3,12 @@
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.Verdict;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -28,6 +31,7 @@
     private volatile boolean sendStarted;
     private volatile boolean headReceived;
     private volatile boolean aborted;
+    private volatile Optional<ConnectionUse> connectionUse = Optional.empty();
     private final AtomicBoolean ended = new AtomicBoolean();
 
     /**
@@ -41,6 +45,14 @@
         this.handler = handler;
     }
 
+    /**
+     * The place of an exchange among those of its connection.
+     *
+     * @param localPort the port of this side, which identifies the connection in logs
+     * @param earlierRequests the number of requests that the connection had carried before
+     */
+    public record ConnectionUse(int localPort, long earlierRequests) {}
+
     /** Receives the response or the failure of an exchange. */
     public interface Handler {
         /**
@@ -79,7 +91,7 @@
 
     /** Sends the request. */
     public void send() {
-        request.onRequestBegin(startedRequest -> sendStarted = true)
+        request.onRequestBegin(this::onRequestBegin)
                 .onResponseHeaders(this::onResponseHead)
                 .onResponseContentAsync(this::onResponseContent);
         ClientRequests.send(request, this::onResult);
@@ -91,6 +103,35 @@
         request.abort(new CancelledException());
     }
 
+    /**
+     * Returns the connection on which sending has begun.
+     *
+     * @return the connection, empty if sending has not begun
+     */
+    public Optional<ConnectionUse> connectionUse() {
+        return connectionUse;
+    }
+
+    private void onRequestBegin(Request begun) {
+        connectionUse = Optional.of(describe(begun.getConnection()));
+        sendStarted = true;
+    }
+
+    private static ConnectionUse describe(Connection connection) {
+        int localPort =
+                connection != null
+                                && connection.getLocalSocketAddress()
+                                        instanceof InetSocketAddress address
+                        ? address.getPort()
+                        : 0;
+        // The count includes this request already.
+        long earlierRequests =
+                connection instanceof org.eclipse.jetty.io.Connection counting
+                        ? counting.getMessagesOut() - 1
+                        : 0;
+        return new ConnectionUse(localPort, earlierRequests);
+    }
+
     private void onResponseHead(Response response) {
         headReceived = true;
         handler.onHead(response);
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/HttpExchangeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/HttpExchangeTest.java
@@ -3,12 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import com.sun.net.httpserver.HttpServer;
 import dev.foxtailshed.daemon.hosting.StoreCalls;
 import dev.foxtailshed.daemon.hosting.StoreFailure;
+import dev.foxtailshed.daemon.internal.http.HttpExchange.ConnectionUse;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.Verdict;
 import io.vavr.control.Either;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -76,6 +79,65 @@
         assertThat(results.get(0).isFailed()).isTrue();
     }
 
+    @Test
+    void exchangeNamesItsConnectionAndTheRequestsBeforeIt() throws Exception {
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 10);
+        server.createContext("/", exchange -> exchange.sendResponseHeaders(204, -1));
+        server.start();
+        HttpClient client = BackendHttpClients.newClient();
+        client.start();
+        List<ConnectionUse> uses = new ArrayList<>();
+        try {
+            for (int i = 0; i < 2; i++) {
+                CompletionWaiter waiter = new CompletionWaiter();
+                HttpExchange exchange =
+                        new HttpExchange(
+                                client.newRequest("127.0.0.1", server.getAddress().getPort()),
+                                waiter);
+                assertThat(exchange.connectionUse()).isEmpty();
+                exchange.send();
+                waiter.completed.get(5, TimeUnit.SECONDS);
+                uses.add(exchange.connectionUse().orElseThrow());
+            }
+        } finally {
+            client.stop();
+            server.stop(0);
+        }
+
+        assertThat(uses).extracting(ConnectionUse::earlierRequests).containsExactly(0L, 1L);
+        assertThat(uses.get(0).localPort()).isPositive().isEqualTo(uses.get(1).localPort());
+    }
+
+    /** Waits for the end of an exchange with a response. */
+    private static final class CompletionWaiter implements HttpExchange.Handler {
+        final CompletableFuture<Void> completed = new CompletableFuture<>();
+
+        @Override
+        public void onHead(Response response) {
+            // The test needs the end of the response only.
+        }
+
+        @Override
+        public void onBytes(Response response, byte[] bytes, Runnable next) {
+            next.run();
+        }
+
+        @Override
+        public void onComplete(Response response) {
+            completed.complete(null);
+        }
+
+        @Override
+        public void onFailure(RequestFailure failure) {
+            completed.completeExceptionally(new IllegalStateException(failure.message()));
+        }
+
+        @Override
+        public void onAborted() {
+            completed.completeExceptionally(new IllegalStateException("aborted"));
+        }
+    }
+
     /** Collects the failures of an exchange that gets no response. */
     private static final class FailureCollector implements HttpExchange.Handler {
         final List<RequestFailure> failures = new ArrayList<>();
