Close the connection of a refusal if the request may return to the server

Callers saw 503, the promise that a request has not run, while a server ran it: a stream that may run once was refused by a model server, reserved and sent there again, and a late copy of the refusal was taken for the response.

Cause: an answer is matched with its attempt by the id of the request. That is no match once a connection has carried the same id before. Class: evidence that may belong to an earlier attempt of the same request.

Change: a refusal of a model server, or 421, to a run or a prefill closes its connection, so that no connection carries an id again after a refusal. Plain requests go to an incarnation once, so that their connections are kept.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -268,8 +268,10 @@
             abort(CallOutcome.BROKEN, problem.get());
         } else if (head.wrongServer()) {
             setOutcome(CallOutcome.WRONG_SERVER, "another server has the address");
+            closeIfRequestMayReturn();
         } else if (head.notRun()) {
             setOutcome(CallOutcome.REFUSED, "refused with status " + status);
+            closeIfRequestMayReturn();
         } else {
             boolean failed = status >= HttpStatus.INTERNAL_SERVER_ERROR_500;
             setOutcome(
@@ -280,6 +282,17 @@
         }
     }
 
+    /**
+     * Closes the connection of a refusal if the request may be sent to this server again: a late
+     * copy of the refusal could not be told from the response to the next attempt, since it names
+     * the same request.
+     */
+    private void closeIfRequestMayReturn() {
+        if (request.service().engine().isPresent()) {
+            abort(outcome, detail);
+        }
+    }
+
     private void recordRequestLimit(ResponseHead head) {
         OptionalDouble rate =
                 head.requestLimit().map(ServerRateLimits::parseRate).orElse(OptionalDouble.empty());
