Send no request that was reported as not run before it began

Callers could see 503, the promise that a request has not run, for one that is sent a moment later. The client is known to throw.

Cause: an exchange that failed without a begin counted as not run, while nothing kept it from beginning afterwards. Class: a proof that rests on timing.

Change: beginning and giving up are transitions of one state. Whichever comes first wins; a request that was given up is aborted when a connection begins it, and no byte is sent.

Evidence: requestThatBeginsAfterItWasReportedAsNotRunIsNotSent, with a request that can't be aborted while it is queued, failed before: it was sent after its failure NOT_RUN. It passes with a real connection, whose server reads no byte.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/HttpExchange.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -18,8 +19,8 @@
  * An HTTP request to a backend server whose failures carry a verdict.
  *
  * <p>The body is read only as fast as the handler requests it. If the exchange fails before sending
- * started, the request has not run; after that it may have run; once the status and headers of the
- * response have been received, it has run.
+ * started, the request has not run, and is not sent any more; after that it may have run; once the
+ * status and headers of the response have been received, it has run.
  */
 public final class HttpExchange {
 
@@ -28,7 +29,7 @@
 
     private final Request request;
     private final Handler handler;
-    private volatile boolean sendStarted;
+    private final AtomicReference<SendState> sendState = new AtomicReference<>(SendState.QUEUED);
     private volatile boolean headReceived;
     private volatile boolean aborted;
     private volatile Optional<ConnectionUse> connectionUse = Optional.empty();
@@ -45,6 +46,16 @@
         this.handler = handler;
     }
 
+    /** Decides between sending a request and reporting it as not run; only one can happen. */
+    private enum SendState {
+        /** Nothing has been sent. */
+        QUEUED,
+        /** A connection sends the request; it may run. */
+        BEGUN,
+        /** The request failed before it began; a connection that takes it later sends nothing. */
+        GIVEN_UP
+    }
+
     /**
      * The place of an exchange among those of its connection.
      *
@@ -100,6 +111,7 @@
     /** Aborts the exchange. */
     public void abort() {
         aborted = true;
+        giveUpUnsent();
         request.abort(new CancelledException());
     }
 
@@ -113,8 +125,22 @@
     }
 
     private void onRequestBegin(Request begun) {
-        connectionUse = Optional.of(describe(begun.getConnection()));
-        sendStarted = true;
+        SendState state =
+                sendState.updateAndGet(
+                        current ->
+                                current == SendState.GIVEN_UP
+                                        ? SendState.GIVEN_UP
+                                        : SendState.BEGUN);
+        if (state == SendState.GIVEN_UP) {
+            begun.abort(new CancelledException());
+        } else {
+            connectionUse = Optional.of(describe(begun.getConnection()));
+        }
+    }
+
+    /** Prevents the request from being sent; returns false if a connection has begun to send it. */
+    private boolean giveUpUnsent() {
+        return sendState.compareAndSet(SendState.QUEUED, SendState.GIVEN_UP);
     }
 
     private static ConnectionUse describe(Connection connection) {
@@ -181,7 +207,7 @@
 
     private RequestFailure toFailure(Throwable cause) {
         String text = "the backend server failed: " + describe(cause);
-        if (!sendStarted) {
+        if (giveUpUnsent()) {
             return RequestFailure.notRun(ErrorCode.NO_SERVER, text);
         }
         if (headReceived) {
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/HttpExchangeTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/http/HttpExchangeTest.java
@@ -11,15 +11,23 @@
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.Verdict;
 import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.InputStream;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -79,6 +87,90 @@
         assertThat(results.get(0).isFailed()).isTrue();
     }
 
+    /**
+     * Guards against a request that is reported as not run when the client fails to send it, and is
+     * sent afterwards by a connection that takes it from the queue.
+     */
+    @Test
+    void requestThatBeginsAfterItWasReportedAsNotRunIsNotSent() throws Exception {
+        ReadCounter server = new ReadCounter();
+        HttpClient client = BackendHttpClients.newClient();
+        client.start();
+        FailureCollector collector = new FailureCollector();
+        try (server) {
+            Request sent = client.newRequest("127.0.0.1", server.port());
+            new HttpExchange(failingAfterQueueing(sent), collector).send();
+            assertThat(collector.failures).hasSize(1);
+            assertThat(collector.failures.get(0).verdict()).isEqualTo(Verdict.NOT_RUN);
+
+            CompletableFuture<Result> result = new CompletableFuture<>();
+            sent.send(result::complete);
+            assertThat(result.get(5, TimeUnit.SECONDS).isFailed()).isTrue();
+        } finally {
+            client.stop();
+        }
+        assertThat(server.readBytes()).isZero();
+    }
+
+    /**
+     * Returns a request that fails as if the client had queued it, and that cannot be aborted while
+     * it is queued.
+     */
+    private static Request failingAfterQueueing(Request request) {
+        return (Request)
+                Proxy.newProxyInstance(
+                        Request.class.getClassLoader(),
+                        new Class<?>[] {Request.class},
+                        (proxy, method, arguments) -> {
+                            if (method.getName().equals("send")) {
+                                throw new IllegalStateException("queued");
+                            }
+                            if (method.getName().equals("abort")) {
+                                return CompletableFuture.completedFuture(false);
+                            }
+                            Object result = method.invoke(request, arguments);
+                            return result == request ? proxy : result;
+                        });
+    }
+
+    /** A server that counts the bytes it reads, and responds to nothing. */
+    private static final class ReadCounter implements AutoCloseable {
+        private final ServerSocket listener =
+                new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"));
+        private final AtomicLong readBytes = new AtomicLong();
+
+        ReadCounter() throws IOException {
+            Thread thread = new Thread(this::serve, "read-counter");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        int port() {
+            return listener.getLocalPort();
+        }
+
+        long readBytes() {
+            return readBytes.get();
+        }
+
+        private void serve() {
+            try (Socket socket = listener.accept()) {
+                InputStream input = socket.getInputStream();
+                while (input.read() >= 0) {
+                    readBytes.incrementAndGet();
+                }
+            } catch (IOException e) {
+                // The test has closed the listener, or the client its connection.
+                return;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+    }
+
     @Test
     void exchangeNamesItsConnectionAndTheRequestsBeforeIt() throws Exception {
         HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 10);
