Promise with no status of an error that a request has not run without proof

Callers of an entry with sidecars could see 429 or 503 with the verdict may-have-run: the status promises what the verdict does not.

Cause: an error's status came from its code alone. Class: a promise that is made in a place that does not know the evidence; found by looking for all writers of 408, 421, 429 and 503.

Change: RequestFailure decides the status. A code whose status promises "not run" is sent as 502 unless the verdict is NOT_RUN. A 503 of the HTTP server's own becomes 500.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ErrorBody.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ErrorBody.java
@@ -69,7 +69,7 @@
      */
     public static void write(
             Response response, RequestFailure failure, JsonObject body, Callback callback) {
-        response.setStatus(failure.code().httpStatus());
+        response.setStatus(failure.httpStatus());
         response.getHeaders().put(VERDICT_HEADER, failure.verdict().label());
         failure.retryAfterMillis()
                 .ifPresent(
@@ -108,7 +108,7 @@
                         millis ->
                                 response.getHeaders()
                                         .put(HttpHeader.RETRY_AFTER, fractionalSeconds(millis)));
-        response.setStatus(failure.code().httpStatus());
+        response.setStatus(failure.httpStatus());
         response.getHeaders().put(VERDICT_HEADER, failure.verdict().label());
         writeJson(response, envelope(failure), callback);
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/JsonErrorHandler.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/JsonErrorHandler.java
@@ -18,7 +18,11 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        int status = response.getStatus();
+        // A status of 503 would promise that the request has not run, which nothing shows here.
+        int status =
+                response.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503
+                        ? HttpStatus.INTERNAL_SERVER_ERROR_500
+                        : response.getStatus();
         boolean isClientError = HttpStatus.isClientError(status);
         String reason = HttpStatus.getMessage(status);
         RequestFailure failure =
--- a/kernel/src/main/java/dev/foxtailshed/kernel/RequestFailure.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/RequestFailure.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * The failure of a request or an attempt: its reason and whether it may have run.
@@ -14,6 +15,9 @@
 public record RequestFailure(
         Verdict verdict, ErrorCode code, String message, OptionalLong retryAfterMillis) {
 
+    /** Statuses that callers take as the promise that a request has not run and never will. */
+    private static final Set<Integer> STATUSES_OF_NOT_RUN = Set.of(408, 421, 429, 503);
+
     /** Checks that no component is null. */
     public RequestFailure {
         Objects.requireNonNull(verdict, "verdict");
@@ -45,6 +49,21 @@
         return of(Verdict.NOT_RUN, code, message);
     }
 
+    /**
+     * Returns the HTTP status to send.
+     *
+     * <p>It is that of the code, unless that one promises that the request has not run and the
+     * verdict does not.
+     *
+     * @return the HTTP status
+     */
+    public int httpStatus() {
+        boolean promises = STATUSES_OF_NOT_RUN.contains(code.httpStatus());
+        return promises && verdict != Verdict.NOT_RUN
+                ? ErrorCode.BACKEND_ERROR.httpStatus()
+                : code.httpStatus();
+    }
+
     /**
      * Returns this failure with a retry delay.
      *
