--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttpClients.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttpClients.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.util.component.LifeCycle;
 
 /** Creates the HTTP clients for calls to backend servers. */
 public final class BackendHttpClients {
@@ -23,14 +24,22 @@
      * Creates a client that forwards requests and responses unchanged.
      *
      * <p>It stores no cookies, since they belong to individual callers, and follows no redirects. A
-     * reset connection is reported as a failure. Call {@link #disableResponseProcessing} after the
-     * start.
+     * reset connection, and interim responses without end, are reported as failures. Call {@link
+     * #disableResponseProcessing} after the start.
      *
      * @return the client, not started
      */
     public static HttpClient newClient() {
         HttpClient client =
                 new HttpClient(new HttpClientTransportOverHTTP(new ResetAwareConnector()));
+        // Jetty sets up its own handlers when the client starts.
+        client.addEventListener(
+                new LifeCycle.Listener() {
+                    @Override
+                    public void lifeCycleStarted(LifeCycle started) {
+                        LimitedInterimHandler.install(client);
+                    }
+                });
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
         client.setFollowRedirects(false);
