Bound the responses to the client of the entry with sidecars, too

An entry with sidecars calls the platform's store and other entries with a client of its own, which had neither the limit of heads nor those of interim responses.

Cause: that client was made in a second place.

Change: BackendHttpClients makes it, with TLS, by the same limits.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Entry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Entry.java
@@ -9,6 +9,7 @@
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.daemon.internal.http.BackendHttpClients;
 import dev.foxtailshed.daemon.internal.http.Endpoint;
 import dev.foxtailshed.daemon.internal.http.EndpointChain;
 import dev.foxtailshed.daemon.internal.http.HealthEndpoint;
@@ -60,7 +61,7 @@
     private final Settings settings;
     private final QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
     private final ExecutorTimerService timer = new ExecutorTimerService();
-    private final HttpClient httpClient = new HttpClient();
+    private final HttpClient httpClient = BackendHttpClients.newServiceClient();
     private final InFlightRequests inFlight = new InFlightRequests();
     private final WaitQueue waitQueue = new WaitQueue(timer);
     private final ManifestHolder manifests =
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttpClients.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/BackendHttpClients.java
@@ -8,7 +8,7 @@
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.component.LifeCycle;
 
-/** Creates the HTTP clients for calls to backend servers. */
+/** Creates the HTTP clients for calls to backend servers and to other services. */
 public final class BackendHttpClients {
 
     private static final int MAXIMUM_CONNECTIONS_PER_SERVER = 4096;
@@ -30,8 +30,28 @@
      * @return the client, not started
      */
     public static HttpClient newClient() {
-        HttpClient client =
-                new HttpClient(new HttpClientTransportOverHTTP(new ResetAwareConnector()));
+        HttpClient client = newBoundedClient(new ResetAwareConnector.WithoutTls());
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        client.setUserAgentField(null);
+        client.setFollowRedirects(false);
+        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
+        return client;
+    }
+
+    /**
+     * Creates a client for services such as the platform's store, with or without TLS.
+     *
+     * @return the client, not started
+     */
+    public static HttpClient newServiceClient() {
+        return newBoundedClient(new ResetAwareConnector());
+    }
+
+    /** Creates a client that keeps no head and no interim responses without end. */
+    private static HttpClient newBoundedClient(ResetAwareConnector connector) {
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setMaxResponseHeadersSize(MAXIMUM_RESPONSE_HEAD_BYTES);
         // Jetty sets up its own handlers when the client starts.
         client.addEventListener(
                 new LifeCycle.Listener() {
@@ -40,12 +60,6 @@
                         LimitedInterimHandler.install(client);
                     }
                 });
-        client.setHttpCookieStore(new HttpCookieStore.Empty());
-        client.setUserAgentField(null);
-        client.setFollowRedirects(false);
-        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-        client.setMaxResponseHeadersSize(MAXIMUM_RESPONSE_HEAD_BYTES);
-        client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
         return client;
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ResetAwareConnector.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ResetAwareConnector.java
@@ -23,11 +23,8 @@
  * <p>Jetty's client parses all bytes that it can read before it handles what it has parsed. A
  * server that sends interim responses faster than they are parsed would fill the memory with them,
  * so that a connection appears to have no more bytes after each turn.
- *
- * <p>It connects without TLS only: loading the TLS provider and its certificates would take a fifth
- * of the start of a process that never uses them.
  */
-final class ResetAwareConnector extends ClientConnector {
+class ResetAwareConnector extends ClientConnector {
 
     /** The size of the client's buffer; the parsed form of small messages takes many times more. */
     private static final int TURN_BYTES = 16 << 10;
@@ -38,20 +35,6 @@
         return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
     }
 
-    @Override
-    protected SslContextFactory.Client newSslContextFactory() {
-        return new UnloadedSslContextFactory();
-    }
-
-    /** A factory that loads nothing, so that a request for an https address fails. */
-    private static final class UnloadedSslContextFactory extends SslContextFactory.Client {
-
-        @Override
-        protected void doStart() {
-            // The superclass loads certificates here.
-        }
-    }
-
     /**
      * An end point whose reads throw an exception if the connection was reset, and that reads only
      * so many bytes until the selector selects it again.
@@ -98,4 +81,25 @@
             return filled;
         }
     }
+
+    /**
+     * A connector that connects without TLS only: loading the TLS provider and its certificates
+     * would take a fifth of the start of a process that never uses them.
+     */
+    static final class WithoutTls extends ResetAwareConnector {
+
+        @Override
+        protected SslContextFactory.Client newSslContextFactory() {
+            return new UnloadedSslContextFactory();
+        }
+    }
+
+    /** A factory that loads nothing, so that a request for an https address fails. */
+    private static final class UnloadedSslContextFactory extends SslContextFactory.Client {
+
+        @Override
+        protected void doStart() {
+            // The superclass loads certificates here.
+        }
+    }
 }
