Be ready only while the threads that read the connections run

Class: a health check that asks a part that still works.

Change: LoopMonitors gives each selector of the HTTP client and of the callers' server a task twice a second, like the entry's loop; E9003 names the loop.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -106,7 +106,7 @@
     private final SerialExecutor loop = new SerialExecutor(threads);
     private final BufferBudget requestBuffers = BufferBudgets.forRequests();
     private final BufferBudget responseBuffers = BufferBudgets.forResponses();
-    private final LoopMonitor loopMonitor = new LoopMonitor(timer, loop);
+    private final LoopMonitors loopMonitors = new LoopMonitors(timer);
     private final ServerRateLimits rateLimits =
             new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
     private final CrashGuard crashGuard;
@@ -202,7 +202,8 @@
             BackendHttpClients.disableResponseProcessing(httpClient);
             // Subscribes to the view before it has anything to report.
             flows.start();
-            loopMonitor.start();
+            loopMonitors.add("entry", loop);
+            loopMonitors.addSelectors("client", httpClient);
             view.start();
             membership.start();
             crashGuard.start();
@@ -212,6 +213,7 @@
             SignalHandlers.onHangup(() -> settings.reload("SIGHUP"));
             control.start();
             callers.start();
+            loopMonitors.addSelectors("callers", callers);
         } catch (IOException e) {
             throw e;
         } catch (Exception e) {
@@ -329,7 +331,7 @@
     }
 
     private boolean isReady() {
-        return !shuttingDown && view.isComplete() && loopMonitor.isRunning();
+        return !shuttingDown && view.isComplete() && loopMonitors.areRunning();
     }
 
     private int entryCount() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/LoopMonitor.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/LoopMonitor.java
@@ -8,26 +8,35 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * Detects that the entry's loop or its timer no longer runs tasks.
+ * Detects that a loop that the entry needs, or its timer, no longer runs tasks.
  *
  * <p>The timer puts a task on the loop in each period; if none has run for a while, the entry can
- * serve no request, whatever the rest of the process still answers. Thread-safe.
+ * serve no request, or only some, whatever the rest of the process still answers. Thread-safe.
  */
 final class LoopMonitor {
 
-    private static final long PERIOD_MILLIS = 250;
+    private static final long PERIOD_MILLIS = 500;
 
     /** Time without a task after which the loop counts as stalled; callers wait about as long. */
     static final long STALL_MILLIS = 3_000;
 
     private final TimerService timer;
+    private final String name;
     private final Executor loop;
     private final AtomicBoolean taskWaiting = new AtomicBoolean();
     private final AtomicBoolean stallLogged = new AtomicBoolean();
     private volatile long lastRunMillis;
 
-    LoopMonitor(TimerService timer, Executor loop) {
+    /**
+     * Creates a monitor, not started yet.
+     *
+     * @param timer the clock and scheduler
+     * @param name the name of the loop in events
+     * @param loop runs tasks on the loop
+     */
+    LoopMonitor(TimerService timer, String name, Executor loop) {
         this.timer = timer;
+        this.name = name;
         this.loop = loop;
         this.lastRunMillis = timer.nowMillis();
     }
@@ -54,7 +63,10 @@
         long idleMillis = timer.nowMillis() - lastRunMillis;
         boolean running = idleMillis <= STALL_MILLIS;
         if (!running && stallLogged.compareAndSet(false, true)) {
-            EventLog.log(EventCode.LOOP_STALLED, Field.of("idleMillis", idleMillis));
+            EventLog.log(
+                    EventCode.LOOP_STALLED,
+                    Field.of("loop", name),
+                    Field.of("idleMillis", idleMillis));
         }
         return running;
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -112,7 +112,7 @@
             5005, Level.WARN, "A request suspected of crashing two backend servers was refused."),
     /** Logged with the exception; indicates a fault in this program. */
     INTERNAL_ERROR(9001, Level.ERROR, "An unexpected exception occurred."),
-    LOOP_STALLED(9003, Level.ERROR, "The loop of this entry runs nothing; it is not ready."),
+    LOOP_STALLED(9003, Level.ERROR, "A loop that this entry needs runs nothing; it is not ready."),
     LINES_DROPPED(9002, Level.WARN, "Log lines were dropped because standard output was blocked.");
 
     private final int number;
