Close the connection of a refusal before the refusal is handled

Cause: closed the connection from the entry's loop. A refusal without a body is complete by then, and if the loop is busy its connection is in use again.

Change: the exchange is aborted on the thread that reads the head, before the response can end. The loop gets the refusal first and the abort after it.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -195,7 +195,28 @@
     public void onHead(Response response) {
         int status = response.getStatus();
         HttpFields headers = response.getHeaders();
-        context.runOnLoop(() -> readHead(status, headers));
+        ResponseHead head = context.platform().serverProtocol().parseHead(status, headers);
+        if (head.notRun() && mayReturnToServer()) {
+            // Not on the loop, where the response may have ended and its connection be in use.
+            context.runOnLoop(() -> endRefused(status, headers, head));
+            exchange.ifPresent(HttpExchange::abort);
+        } else {
+            context.runOnLoop(() -> readHead(status, headers, head));
+        }
+    }
+
+    /**
+     * Returns whether the request may be sent to this server again. A refusal then closes its
+     * connection: a late copy of it could not be told from the response to the next attempt, since
+     * it names the same request.
+     */
+    private boolean mayReturnToServer() {
+        return request.service().engine().isPresent();
+    }
+
+    private void endRefused(int status, HttpFields headers, ResponseHead head) {
+        readHead(status, headers, head);
+        end(outcome, detail);
     }
 
     @Override
@@ -255,11 +276,10 @@
         return failure.code() == ErrorCode.TIMEOUT ? CallOutcome.SILENT : CallOutcome.BROKEN;
     }
 
-    private void readHead(int status, HttpFields headers) {
+    private void readHead(int status, HttpFields headers, ResponseHead head) {
         if (ended) {
             return;
         }
-        ResponseHead head = context.platform().serverProtocol().parseHead(status, headers);
         Optional<String> problem = findProblem(status, headers, head);
         if (problem.isEmpty() && !head.wrongServer()) {
             recordRequestLimit(head);
@@ -268,10 +288,8 @@
             abort(CallOutcome.BROKEN, problem.get());
         } else if (head.wrongServer()) {
             setOutcome(CallOutcome.WRONG_SERVER, "another server has the address");
-            closeIfRequestMayReturn();
         } else if (head.notRun()) {
             setOutcome(CallOutcome.REFUSED, "refused with status " + status);
-            closeIfRequestMayReturn();
         } else {
             boolean failed = status >= HttpStatus.INTERNAL_SERVER_ERROR_500;
             setOutcome(
@@ -282,17 +300,6 @@
         }
     }
 
-    /**
-     * Closes the connection of a refusal if the request may be sent to this server again: a late
-     * copy of the refusal could not be told from the response to the next attempt, since it names
-     * the same request.
-     */
-    private void closeIfRequestMayReturn() {
-        if (request.service().engine().isPresent()) {
-            abort(outcome, detail);
-        }
-    }
-
     private void recordRequestLimit(ResponseHead head) {
         OptionalDouble rate =
                 head.requestLimit().map(ServerRateLimits::parseRate).orElse(OptionalDouble.empty());
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.kernel.direct.DirectRoute;
 import dev.foxtailshed.kernel.direct.DirectService;
+import dev.foxtailshed.kernel.direct.EngineSpec;
 import dev.foxtailshed.kernel.direct.PromptParts;
 import dev.foxtailshed.kernel.direct.Repeatability;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
@@ -16,7 +17,24 @@
 
     private CallerRequests() {}
 
+    /** Creates a request to a model service. */
+    static CallerRequest createForModel() {
+        EngineSpec engine = new EngineSpec(8, 1_000, 500, 500, 2_000, false);
+        return create(
+                "127.0.0.1",
+                "/x",
+                PromptParts.NONE,
+                "",
+                new DirectService("llm", 10, Optional.empty(), Optional.of(engine)));
+    }
+
     static CallerRequest create(String caller, String target, PromptParts prompt, String body) {
+        DirectService service = new DirectService("app", 10, Optional.empty(), Optional.empty());
+        return create(caller, target, prompt, body, service);
+    }
+
+    private static CallerRequest create(
+            String caller, String target, PromptParts prompt, String body, DirectService service) {
         DirectRoute route =
                 new DirectRoute(
                         "r",
@@ -44,7 +62,7 @@
                         Optional.empty(),
                         prompt),
                 route,
-                new DirectService("app", 10, Optional.empty(), Optional.empty()),
+                service,
                 1,
                 0,
                 1_000);
