Serve tenants by their keys, and tell servers the tenant and the urgency

Cause: where the routing configuration has tenants, nothing read their keys. The keys and forged tenant names went on to servers, and unknown keys were served. Change: a request needs a key that exactly one tenant has, unless its route is public; others get 401. Servers get the name of the tenant and a rank of urgency, in which the tenant's priority goes before the route's. Malformed tenants are reported and left out. A refused request with a body closes its connection and says so. Without tenants in the configuration nothing changes.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
@@ -134,6 +134,7 @@
      * @param cacheSource the location of the prompt's KV cache, as IP:PORT/HANDLE
      * @param resumeAfter the id of the last event that the caller has received; the stream
      *     continues after it
+     * @param identity what the server learns of the caller; empty if the deployment has no tenants
      */
     record AttemptOptions(
             String serverId,
@@ -141,7 +142,16 @@
             boolean prefillOnly,
             Optional<String> reservation,
             Optional<String> cacheSource,
-            OptionalLong resumeAfter) {}
+            OptionalLong resumeAfter,
+            Optional<CallerIdentity> identity) {}
+
+    /**
+     * What a server learns of the caller in place of the caller's key.
+     *
+     * @param tenant the name of the caller's tenant, empty for a caller without a valid key
+     * @param urgency the rank of the request among all; 0 is the most urgent
+     */
+    record CallerIdentity(Optional<String> tenant, int urgency) {}
 
     /**
      * The head of a response.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
@@ -1,8 +1,11 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import dev.foxtailshed.daemon.hosting.ServerProtocol.CallerIdentity;
 import dev.foxtailshed.kernel.direct.DirectRoute;
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
+import dev.foxtailshed.kernel.direct.tenant.Tenant;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -17,6 +20,8 @@
  * @param attributes the metadata from the caller's headers
  * @param route the route that matched when the head arrived
  * @param service the service that runs the request
+ * @param tenant the caller's tenant, if it has a valid key
+ * @param identity what servers learn of the caller; empty if the deployment has no tenants
  * @param routesVersion the version of the routing configuration that has the route
  * @param arrivedMillis when the head arrived, on the timer's clock
  * @param deadlineMillis when the final response must have been sent, on the timer's clock
@@ -31,6 +36,14 @@
         RequestAttributes attributes,
         DirectRoute route,
         DirectService service,
+        Optional<Tenant> tenant,
+        Optional<CallerIdentity> identity,
         long routesVersion,
         long arrivedMillis,
-        long deadlineMillis) {}
+        long deadlineMillis) {
+
+    /** Returns the priority: the rank among tenants and routes, or that of the route alone. */
+    int priority() {
+        return identity.map(CallerIdentity::urgency).orElse(route.priority());
+    }
+}
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.daemon.internal.direct;
 
+import dev.foxtailshed.daemon.hosting.ServerProtocol.CallerIdentity;
 import dev.foxtailshed.daemon.internal.http.BodyAccumulator;
 import dev.foxtailshed.daemon.internal.http.BodyAccumulator.NoRoomException;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
@@ -14,7 +15,9 @@
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
 import dev.foxtailshed.kernel.direct.RouteTable;
+import dev.foxtailshed.kernel.direct.tenant.Tenant;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -77,7 +80,17 @@
             refuse(pending, ErrorCode.NOT_FOUND, "no route matches " + where);
             return true;
         }
-        readBody(pending, new MatchedRequest(attributes, routes.get(), route.get(), arrivedMillis));
+        Optional<Tenant> tenant =
+                routes.get()
+                        .tenants()
+                        .flatMap(tenants -> attributes.apiKey().flatMap(tenants::find));
+        if (tenant.isEmpty() && routes.get().tenants().isPresent() && !route.get().isPublic()) {
+            refuseUnauthorized(pending, attributes);
+            return true;
+        }
+        readBody(
+                pending,
+                new MatchedRequest(attributes, routes.get(), route.get(), tenant, arrivedMillis));
         return true;
     }
 
@@ -86,8 +99,22 @@
             RequestAttributes attributes,
             RouteTable routes,
             DirectRoute route,
+            Optional<Tenant> tenant,
             long arrivedMillis) {
 
+        /** Returns what servers learn of the caller. */
+        Optional<CallerIdentity> identity() {
+            return routes.urgencyRanks()
+                    .map(
+                            ranks ->
+                                    new CallerIdentity(
+                                            tenant.map(Tenant::name),
+                                            ranks.rank(
+                                                    tenant.map(Tenant::priority)
+                                                            .orElse(OptionalInt.empty()),
+                                                    route.priority())));
+        }
+
         long deadlineMillis() {
             long limitMillis = route.timeoutMillis();
             return arrivedMillis
@@ -189,6 +216,8 @@
                         matched.attributes(),
                         matched.route(),
                         service,
+                        matched.tenant(),
+                        matched.identity(),
                         matched.routes().version(),
                         matched.arrivedMillis(),
                         matched.deadlineMillis());
@@ -232,6 +261,19 @@
         return Optional.ofNullable(headers.get(HttpHeader.HOST)).orElse("");
     }
 
+    private void refuseUnauthorized(PendingResponse pending, RequestAttributes attributes) {
+        context.recorder().recordUnknownKey(pending.requestId(), attributes.apiKey());
+        HttpFields headers = pending.request().getHeaders();
+        boolean hasBody =
+                headers.contains(HttpHeader.CONTENT_LENGTH)
+                        || headers.contains(HttpHeader.TRANSFER_ENCODING);
+        if (hasBody) {
+            // The body is not read, so the connection cannot be used again.
+            pending.response().getHeaders().put(HttpFields.CONNECTION_CLOSE);
+        }
+        refuse(pending, ErrorCode.UNAUTHORIZED, "the request has no valid key");
+    }
+
     private void refuseTooLarge(PendingResponse pending, int maximumBytes) {
         refuse(pending, ErrorCode.TOO_LARGE, "the body is larger than " + maximumBytes + " bytes");
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -242,7 +242,8 @@
                 false,
                 Optional.empty(),
                 Optional.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                request.identity());
     }
 
     /** Creates the check of a stream's order, beginning where the caller resumes the stream. */
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -12,6 +12,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerRateLimits;
+import dev.foxtailshed.kernel.direct.tenant.ApiKey;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -224,6 +225,15 @@
                 Field.of("retryAfterMillis", failure.retryAfterMillis().orElse(-1)));
     }
 
+    /** Records that a caller has sent no key, or none that a tenant has. */
+    void recordUnknownKey(Optional<String> id, Optional<ApiKey> key) {
+        registry.counter("keys.unknown").inc();
+        EventLog.log(
+                EventCode.API_KEY_UNKNOWN,
+                Field.of("request", id.orElse("none")),
+                Field.of("key", key.map(ApiKey::toString).orElse("none")));
+    }
+
     /** Records that a request is retried. */
     void recordRetry(CallerRequest request, CallOutcome outcome, int attempts) {
         registry.counter("retries").inc();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -86,8 +86,7 @@
         boolean late = service.isLate(request, nowMillis);
         long giveUpAtMillis = service.giveUpAtMillis(request, late || resuming, nowMillis);
         Optional<Waiter<ModelFlow>> enqueued =
-                service.reservations()
-                        .enqueue(this, request.route().priority(), late, giveUpAtMillis);
+                service.reservations().enqueue(this, request.priority(), late, giveUpAtMillis);
         if (enqueued.isEmpty()) {
             refuse(
                     "no prefill or decode capacity in time, or none at all: "
@@ -221,7 +220,8 @@
                         false,
                         held.id(),
                         cachedPrompt.map(CachedPrompt::source),
-                        resumeAfter);
+                        resumeAfter,
+                        request.identity());
         if (attempts() > 0 && !retryBudget().tryRetry(context.timer().nowMillis())) {
             fail("the retry budget is exhausted");
             return;
@@ -347,7 +347,8 @@
                             true,
                             Optional.empty(),
                             Optional.empty(),
-                            OptionalLong.empty());
+                            OptionalLong.empty(),
+                            request.identity());
             call = new BackendCall(context, request, server, options, this);
         }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -42,6 +42,8 @@
             2303, Level.INFO, "Data was read from another entry since the store is unavailable."),
     PEER_UNREADABLE(
             2304, Level.WARN, "The response of another entry cannot be read and is ignored."),
+    TENANTS_UNREADABLE(
+            2305, Level.WARN, "A part of the tenants cannot be used; the others are in force."),
     ROUTES_APPLIED(2101, Level.INFO, "A newer routing configuration is in force at this entry."),
     ROUTES_UNREADABLE(
             2102, Level.ERROR, "A routing configuration cannot be read; the previous one stays."),
@@ -106,6 +108,10 @@
             "A request was refused, since requests with these traits crash servers."),
     CRASH_PATTERN_TRIAL(
             5014, Level.WARN, "A request may run to find out whether it still crashes servers."),
+    API_KEY_UNKNOWN(
+            5016,
+            Level.INFO,
+            "A request was refused, since no tenant has the key that it carries."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
@@ -47,6 +47,7 @@
                         0,
                         List.of(new DirectRoute.WeightedService("app", 1)),
                         2,
+                        false,
                         false);
         return new CallerRequest(
                 "request",
@@ -60,9 +61,12 @@
                         OptionalLong.empty(),
                         OptionalLong.empty(),
                         Optional.empty(),
-                        prompt),
+                        prompt,
+                        Optional.empty()),
                 route,
                 service,
+                Optional.empty(),
+                Optional.empty(),
                 1,
                 0,
                 1_000);
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/RefusalConnectionTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/RefusalConnectionTest.java
@@ -111,7 +111,8 @@
                         prefillOnly,
                         Optional.empty(),
                         Optional.empty(),
-                        OptionalLong.empty()),
+                        OptionalLong.empty(),
+                        Optional.empty()),
                 new BackendCall.Listener() {
                     @Override
                     public void onHead(int status, HttpFields headers) {
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/UnsendableRequestTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/UnsendableRequestTest.java
@@ -80,7 +80,8 @@
                         false,
                         Optional.empty(),
                         Optional.empty(),
-                        OptionalLong.empty()),
+                        OptionalLong.empty(),
+                        Optional.empty()),
                 new BackendCall.Listener() {
                     @Override
                     public void onHead(int status, HttpFields headers) {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectRoute.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectRoute.java
@@ -16,6 +16,7 @@
  * @param services the services that may run the request, with their weights
  * @param maximumServers the maximum number of servers to which one request may be sent
  * @param modelTraffic whether requests carry prompts for a language model
+ * @param isPublic whether callers need no key
  */
 public record DirectRoute(
         String name,
@@ -28,7 +29,8 @@
         int priority,
         List<WeightedService> services,
         int maximumServers,
-        boolean modelTraffic) {
+        boolean modelTraffic,
+        boolean isPublic) {
 
     /** Copies the list of services and rejects an empty one. */
     public DirectRoute {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
@@ -1,5 +1,6 @@
 package dev.foxtailshed.kernel.direct;
 
+import dev.foxtailshed.kernel.direct.tenant.ApiKey;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -11,13 +12,15 @@
  * @param resumeAfterEventId the id of the last event that the caller has already received
  * @param tokenCounts the token counts of a request to a language model
  * @param promptParts the parts of its prompt
+ * @param apiKey the caller's key; empty if it sent none or a malformed one
  */
 public record RequestAttributes(
         Optional<String> attemptId,
         OptionalLong deadlineMillis,
         OptionalLong resumeAfterEventId,
         Optional<TokenCounts> tokenCounts,
-        PromptParts promptParts) {
+        PromptParts promptParts,
+        Optional<ApiKey> apiKey) {
 
     /**
      * Token counts of a request to a language model.
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
@@ -1,5 +1,7 @@
 package dev.foxtailshed.kernel.direct;
 
+import dev.foxtailshed.kernel.direct.tenant.TenantTable;
+import dev.foxtailshed.kernel.direct.tenant.UrgencyRanks;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -17,6 +19,8 @@
     private final List<DirectRoute> routes;
     private final Map<String, DirectService> services;
     private final CallerLimits limits;
+    private final Optional<TenantTable> tenants;
+    private final Optional<UrgencyRanks> urgencyRanks;
     private final Map<String, Map<String, DirectRoute>> byHostAndPrefix = new HashMap<>();
 
     /**
@@ -26,16 +30,25 @@
      * @param routes the routes
      * @param services the services by name
      * @param limits the limits on callers
+     * @param tenants the tenants; empty if callers need no keys
      */
     public RouteTable(
             long version,
             List<DirectRoute> routes,
             Map<String, DirectService> services,
-            CallerLimits limits) {
+            CallerLimits limits,
+            Optional<TenantTable> tenants) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.services = Map.copyOf(services);
         this.limits = limits;
+        this.tenants = tenants;
+        this.urgencyRanks =
+                tenants.map(
+                        table ->
+                                new UrgencyRanks(
+                                        table.byName().values(),
+                                        routes.stream().map(DirectRoute::priority).toList()));
         for (DirectRoute route : routes) {
             byHostAndPrefix
                     .computeIfAbsent(route.host(), host -> new HashMap<>())
@@ -110,6 +123,24 @@
         return limits;
     }
 
+    /**
+     * Returns the tenants.
+     *
+     * @return the tenants and their keys, or empty if callers need no keys
+     */
+    public Optional<TenantTable> tenants() {
+        return tenants;
+    }
+
+    /**
+     * Returns the ranks of urgency among the tenants and routes.
+     *
+     * @return the ranks, or empty if the configuration has no tenants
+     */
+    public Optional<UrgencyRanks> urgencyRanks() {
+        return urgencyRanks;
+    }
+
     private static String normalize(String host) {
         int colon = host.lastIndexOf(':');
         boolean hasPort = colon > host.lastIndexOf(']');
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/FirstEventEstimatorTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/FirstEventEstimatorTest.java
@@ -27,7 +27,8 @@
                     1,
                     List.of(new WeightedService("llm", 1)),
                     1,
-                    true);
+                    true,
+                    false);
 
     @ParameterizedTest
     @ValueSource(longs = {14_000, 13_000, 9_000, 2_000})
@@ -61,6 +62,7 @@
                 OptionalLong.of(deadlineMillis),
                 OptionalLong.empty(),
                 Optional.of(new TokenCounts(promptTokens, 800, OptionalLong.empty())),
-                PromptParts.NONE);
+                PromptParts.NONE,
+                Optional.empty());
     }
 }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
@@ -23,7 +23,8 @@
                             route("long", "one.example", "/a/b/"),
                             route("other", "two.example", "/a/")),
                     Map.of(),
-                    new CallerLimits(1, 1, 1, 1));
+                    new CallerLimits(1, 1, 1, 1),
+                    Optional.empty());
 
     @ParameterizedTest
     @CsvSource({
@@ -57,6 +58,7 @@
                         0,
                         List.of(new WeightedService("x", 90), new WeightedService("y", 10)),
                         1,
+                        false,
                         false);
         assertThat(split.pickService(random)).isEqualTo(expected);
     }
@@ -76,6 +78,7 @@
                                         0,
                                         List.of(),
                                         1,
+                                        false,
                                         false))
                 .hasMessage("route r: expected at least one service");
     }
@@ -92,6 +95,7 @@
                 0,
                 List.of(new WeightedService("app", 1)),
                 2,
+                false,
                 false);
     }
 }
