Let urgent requests use the capacity that patient ones leave spare

Cause: at a full pool each entry asks the servers for its own requests only, so that an urgent request at one entry competes evenly with the patient ones of all others. Change: where the configuration has tenants, a request that is more urgent than others asks for its need alone, at servers too that have just refused a patient one.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
@@ -150,8 +150,9 @@
      *
      * @param tenant the name of the caller's tenant, empty for a caller without a valid key
      * @param urgency the rank of the request among all; 0 is the most urgent
+     * @param urgent whether requests of other ranks are less urgent
      */
-    record CallerIdentity(Optional<String> tenant, int urgency) {}
+    record CallerIdentity(Optional<String> tenant, int urgency, boolean urgent) {}
 
     /**
      * The head of a response.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
@@ -42,6 +42,11 @@
         long arrivedMillis,
         long deadlineMillis) {
 
+    /** Returns whether other requests of the deployment are less urgent; false without tenants. */
+    boolean isUrgent() {
+        return identity.map(CallerIdentity::urgent).orElse(false);
+    }
+
     /** Returns the priority: the rank among tenants and routes, or that of the route alone. */
     int priority() {
         return identity.map(CallerIdentity::urgency).orElse(route.priority());
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -181,12 +181,17 @@
                                             context.view().servers().decodeCapable(service),
                                             nowMillis),
                                     nowMillis);
+            Waiter<ModelFlow> waiter = queue.peek().get();
             Optional<DirectServer> server =
-                    serverSelector.choose(servers, Set.of(), context.health(), nowMillis);
+                    serverSelector.choose(
+                            servers,
+                            Set.of(),
+                            context.health(),
+                            waiter.item().isUrgent(),
+                            nowMillis);
             if (server.isEmpty()) {
                 return;
             }
-            Waiter<ModelFlow> waiter = queue.peek().get();
             if (!waiter.item().claimPrefill()) {
                 return;
             }
@@ -200,6 +205,9 @@
         serverSelector.recordReservationRequest(server);
         if (!supportsReservations()) {
             onGranted(waiter, server, Optional.empty(), waiter.item().tokensToReserve());
+        } else if (waiter.item().isUrgent() && !waiter.isLate()) {
+            // The others leave capacity spare, in which an urgent request finds room.
+            sendReserveCall(waiter, server);
         } else {
             reserveWithSpareCapacity(waiter, server);
         }
@@ -273,7 +281,7 @@
         callsInFlight--;
         waiter.item().releasePrefillClaim();
         long nowMillis = context.timer().nowMillis();
-        serverSelector.recordRefusal(server, queue.size() + 1, nowMillis);
+        serverSelector.recordRefusal(server, queue.size() + 1, waiter.item().isUrgent(), nowMillis);
         if (!reply.hasResponse()) {
             context.health().get(server).recordNoResponse(nowMillis);
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -16,6 +16,7 @@
 import dev.foxtailshed.kernel.direct.RequestAttributes;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.tenant.Tenant;
+import dev.foxtailshed.kernel.direct.tenant.UrgencyRanks;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
@@ -104,15 +105,15 @@
 
         /** Returns what servers learn of the caller. */
         Optional<CallerIdentity> identity() {
-            return routes.urgencyRanks()
-                    .map(
-                            ranks ->
-                                    new CallerIdentity(
-                                            tenant.map(Tenant::name),
-                                            ranks.rank(
-                                                    tenant.map(Tenant::priority)
-                                                            .orElse(OptionalInt.empty()),
-                                                    route.priority())));
+            return routes.urgencyRanks().map(this::identity);
+        }
+
+        private CallerIdentity identity(UrgencyRanks ranks) {
+            int rank =
+                    ranks.rank(
+                            tenant.map(Tenant::priority).orElse(OptionalInt.empty()),
+                            route.priority());
+            return new CallerIdentity(tenant.map(Tenant::name), rank, ranks.isUrgent(rank));
         }
 
         long deadlineMillis() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -101,6 +101,11 @@
         return service.tokensToReserve(tokenCounts);
     }
 
+    /** Returns whether the request goes before others that compete for the same servers. */
+    boolean isUrgent() {
+        return request.isUrgent();
+    }
+
     long reservationMillis() {
         return service.reservationMillis();
     }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeServerSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeServerSelector.java
@@ -62,6 +62,7 @@
      * @param servers the decode servers
      * @param tried servers to leave out
      * @param healthRegistry the health of the servers
+     * @param urgent whether the reservation is for a request that leaves no capacity spare
      * @param nowMillis the current time
      * @return the server, or empty if every server is full, excluded, in quarantine, in {@code
      *     tried}, or has a request pending
@@ -70,6 +71,7 @@
             List<DirectServer> servers,
             Set<Incarnation> tried,
             ServerHealthRegistry healthRegistry,
+            boolean urgent,
             long nowMillis) {
         DirectServer best = null;
         long bestTokens = Long.MAX_VALUE;
@@ -78,7 +80,7 @@
             ServerUsage usage = usage(server);
             if (tried.contains(server.incarnation())
                     || usage.requestPending
-                    || usage.pausedUntilMillis > nowMillis
+                    || usage.pausedUntilMillis(urgent) > nowMillis
                     || usage.excludedUntilMillis > nowMillis
                     || !healthRegistry.get(server).isEligible(nowMillis)) {
                 continue;
@@ -120,15 +122,22 @@
     /**
      * Records that a server refused a reservation.
      *
+     * <p>A server that has no room for an urgent request has none for the others, but not the other
+     * way round, since those leave capacity spare.
+     *
      * @param server the server
      * @param waiting the number of requests of this entry that wait for capacity
+     * @param urgent whether the reservation was for a request that leaves no capacity spare
      * @param nowMillis the current time
      */
-    public void recordRefusal(DirectServer server, int waiting, long nowMillis) {
+    public void recordRefusal(DirectServer server, int waiting, boolean urgent, long nowMillis) {
         ServerUsage usage = usage(server);
         usage.requestPending = false;
         long pauseMillis = REFUSAL_PAUSE_MILLIS / Math.max(1, waiting);
         usage.pausedUntilMillis = nowMillis + Math.max(MINIMUM_PAUSE_MILLIS, pauseMillis);
+        if (urgent) {
+            usage.urgentPausedUntilMillis = usage.pausedUntilMillis;
+        }
     }
 
     /**
@@ -192,6 +201,7 @@
         usage.tokens -= tokens;
         usage.requests--;
         usage.pausedUntilMillis = Long.MIN_VALUE;
+        usage.urgentPausedUntilMillis = Long.MIN_VALUE;
     }
 
     /**
@@ -217,9 +227,14 @@
         private int requests;
         private boolean requestPending;
         private long pausedUntilMillis = Long.MIN_VALUE;
+        private long urgentPausedUntilMillis = Long.MIN_VALUE;
         private int consecutiveRunRefusals;
         private long excludedUntilMillis = Long.MIN_VALUE;
 
+        long pausedUntilMillis(boolean urgent) {
+            return urgent ? urgentPausedUntilMillis : pausedUntilMillis;
+        }
+
         boolean isIdle() {
             return requests == 0 && !requestPending;
         }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/tenant/UrgencyRanks.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/tenant/UrgencyRanks.java
@@ -52,6 +52,16 @@
         return (int) ordered.stream().filter(other -> ORDER.compare(other, urgency) < 0).count();
     }
 
+    /**
+     * Returns whether requests of a rank go before others of the configuration.
+     *
+     * @param rank the rank
+     * @return false for the least urgent rank, also if it is the only one
+     */
+    public boolean isUrgent(int rank) {
+        return rank < ordered.size() - 1;
+    }
+
     private static Urgency urgency(OptionalInt tenantPriority, int routePriority) {
         return new Urgency(tenantPriority.orElse(routePriority), routePriority);
     }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/DecodeServerSelectorTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/DecodeServerSelectorTest.java
@@ -22,7 +22,7 @@
     @ParameterizedTest
     @CsvSource({"1, 60", "2, 30", "4, 15", "40, 10"})
     void pauseAfterRefusalIsShorterTheMoreRequestsWait(int waiting, long pauseMillis) {
-        selector.recordRefusal(server, waiting, 1_000);
+        selector.recordRefusal(server, waiting, false, 1_000);
         assertThat(selectServer(1_000 + pauseMillis - 1)).isEmpty();
         assertThat(selectServer(1_000 + pauseMillis)).contains(server);
     }
@@ -49,14 +49,16 @@
                     continue;
                 }
                 nextAttemptMillis[i] = now + 5;
-                if (entries[i].choose(List.of(server), Set.of(), healthRegistry, now).isEmpty()) {
+                if (entries[i]
+                        .choose(List.of(server), Set.of(), healthRegistry, false, now)
+                        .isEmpty()) {
                     continue;
                 }
                 if (free > 0) {
                     free--;
                     granted[i]++;
                 } else {
-                    entries[i].recordRefusal(server, waiting[i], now);
+                    entries[i].recordRefusal(server, waiting[i], false, now);
                 }
             }
         }
@@ -105,7 +107,24 @@
         assertThat(wasted).isLessThanOrEqualTo(8);
     }
 
+    /**
+     * Patient requests leave capacity spare at a server. Otherwise an urgent request would find a
+     * full pool excluded, though most servers have room for it.
+     */
+    @Test
+    void urgentRequestIgnoresRefusalsOfPatientOnes() {
+        selector.recordRefusal(server, 1, false, 1_000);
+        assertThat(chooseUrgent(1_001)).contains(server);
+        selector.recordRefusal(server, 1, true, 1_001);
+        assertThat(chooseUrgent(1_002)).isEmpty();
+        assertThat(chooseUrgent(1_062)).contains(server);
+    }
+
+    private Optional<DirectServer> chooseUrgent(long nowMillis) {
+        return selector.choose(List.of(server), Set.of(), healthRegistry, true, nowMillis);
+    }
+
     private Optional<DirectServer> selectServer(long nowMillis) {
-        return selector.choose(List.of(server), Set.of(), healthRegistry, nowMillis);
+        return selector.choose(List.of(server), Set.of(), healthRegistry, false, nowMillis);
     }
 }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/StageChangeTrackerTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/StageChangeTrackerTest.java
@@ -88,7 +88,7 @@
             for (long now = 0; now < 11_000; now += 333) {
                 List<DirectServer> candidates = entryTracker.withoutAnnounced(servers, now);
                 DirectServer chosen =
-                        selector.choose(candidates, Set.of(), health, now).orElseThrow();
+                        selector.choose(candidates, Set.of(), health, false, now).orElseThrow();
                 if (chosen.equals(server)) {
                     refused++;
                     selector.recordRunRefusal(server, now);
