Merge keys, tenants and urgency

Cause: callers' keys went on to the servers, and urgent requests competed evenly with patient ones of other entries. Change: tenants by their keys, their names and urgency to servers, and the use of spare capacity by urgent requests.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -86,8 +86,7 @@
         boolean late = service.isLate(request, nowMillis);
         long giveUpAtMillis = service.giveUpAtMillis(request, late || resuming, nowMillis);
         Optional<Waiter<ModelFlow>> enqueued =
-                service.reservations()
-                        .enqueue(this, request.route().priority(), late, giveUpAtMillis);
+                service.reservations().enqueue(this, request.priority(), late, giveUpAtMillis);
         if (enqueued.isEmpty()) {
             refuse(
                     "no prefill or decode capacity in time, or none at all: "
@@ -102,6 +101,11 @@
         return service.tokensToReserve(tokenCounts);
     }
 
+    /** Returns whether the request goes before others that compete for the same servers. */
+    boolean isUrgent() {
+        return request.isUrgent();
+    }
+
     long reservationMillis() {
         return service.reservationMillis();
     }
@@ -221,7 +225,8 @@
                         false,
                         held.id(),
                         cachedPrompt.map(CachedPrompt::source),
-                        resumeAfter);
+                        resumeAfter,
+                        request.identity());
         if (attempts() > 0 && !retryBudget().tryRetry(context.timer().nowMillis())) {
             fail("the retry budget is exhausted");
             return;
@@ -347,7 +352,8 @@
                             true,
                             Optional.empty(),
                             Optional.empty(),
-                            OptionalLong.empty());
+                            OptionalLong.empty(),
+                            request.identity());
             call = new BackendCall(context, request, server, options, this);
         }
 
