Keep tenants within their quotas over all entries together

Cause: no entry counted a tenant's tokens, and nothing was shared between entries. Change: each entry accounts for its share of a tenant's rate, draws what is missing from the tenant's home and collects from the others for the tenants whose home it is. Requests wait for credit for a limited time, in the order of arrival, and are rejected with the time until there is credit. What reached no server is returned. A reservation call that stalls no longer holds up the requests behind it, where tenants compete.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
@@ -42,6 +42,11 @@
         long arrivedMillis,
         long deadlineMillis) {
 
+    /** Returns what the request costs of its tenant's quota. */
+    double cost() {
+        return tenant.map(t -> t.cost(attributes.tokenCounts())).orElse(0.0);
+    }
+
     /** Returns whether other requests of the deployment are less urgent; false without tenants. */
     boolean isUrgent() {
         return identity.map(CallerIdentity::urgent).orElse(false);
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CreditMessages.java
@@ -0,0 +1,133 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.kernel.direct.quota.DrawReply;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes the messages by which entries transfer credit, as MessagePack. Stateless. */
+final class CreditMessages {
+
+    private CreditMessages() {}
+
+    /**
+     * A draw as it is sent.
+     *
+     * @param tenant the name of the tenant
+     * @param neededTokens less than that is of no use
+     * @param wantedTokens the most that the entry takes
+     */
+    record DrawRequest(String tenant, double neededTokens, double wantedTokens) {}
+
+    /** Writes one message. */
+    private interface Writer {
+        void write(MessageBufferPacker packer) throws IOException;
+    }
+
+    /** Reads one message. */
+    private interface Reader<T> {
+        T read(MessageUnpacker unpacker) throws IOException;
+    }
+
+    static byte[] encode(DrawRequest request) {
+        return pack(
+                packer -> {
+                    packer.packString(request.tenant());
+                    packer.packDouble(request.neededTokens());
+                    packer.packDouble(request.wantedTokens());
+                });
+    }
+
+    static DrawRequest decodeDrawRequest(byte[] bytes) {
+        return unpack(
+                bytes,
+                unpacker ->
+                        new DrawRequest(
+                                unpacker.unpackString(),
+                                unpacker.unpackDouble(),
+                                unpacker.unpackDouble()));
+    }
+
+    static byte[] encode(DrawReply reply) {
+        return pack(
+                packer -> {
+                    packer.packDouble(reply.tokens());
+                    packer.packLong(reply.creditAfterMillis());
+                });
+    }
+
+    static DrawReply decodeDrawReply(byte[] bytes) {
+        return unpack(
+                bytes, unpacker -> new DrawReply(unpacker.unpackDouble(), unpacker.unpackLong()));
+    }
+
+    static byte[] encode(List<String> tenants) {
+        return pack(
+                packer -> {
+                    packer.packArrayHeader(tenants.size());
+                    for (String tenant : tenants) {
+                        packer.packString(tenant);
+                    }
+                });
+    }
+
+    static List<String> decodeTenants(byte[] bytes) {
+        return unpack(
+                bytes,
+                unpacker -> {
+                    List<String> tenants = new ArrayList<>();
+                    int count = unpacker.unpackArrayHeader();
+                    for (int i = 0; i < count; i++) {
+                        tenants.add(unpacker.unpackString());
+                    }
+                    return tenants;
+                });
+    }
+
+    static byte[] encode(Map<String, Double> tokens) {
+        return pack(
+                packer -> {
+                    packer.packMapHeader(tokens.size());
+                    for (Map.Entry<String, Double> entry : tokens.entrySet()) {
+                        packer.packString(entry.getKey());
+                        packer.packDouble(entry.getValue());
+                    }
+                });
+    }
+
+    static Map<String, Double> decodeTokens(byte[] bytes) {
+        return unpack(
+                bytes,
+                unpacker -> {
+                    Map<String, Double> tokens = new HashMap<>();
+                    int count = unpacker.unpackMapHeader();
+                    for (int i = 0; i < count; i++) {
+                        tokens.put(unpacker.unpackString(), unpacker.unpackDouble());
+                    }
+                    return tokens;
+                });
+    }
+
+    private static byte[] pack(Writer writer) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            writer.write(packer);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("packing into memory failed", e);
+        }
+    }
+
+    private static <T> T unpack(byte[] bytes, Reader<T> reader) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            return reader.read(unpacker);
+        } catch (IOException | MessagePackException e) {
+            throw new IllegalArgumentException("expected a message about credit: " + e, e);
+        }
+    }
+}
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol;
 import dev.foxtailshed.daemon.internal.direct.EngineControlClient.Reply;
+import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.AdmissionQueue;
 import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.DecodeServerSelector;
@@ -30,6 +31,13 @@
      */
     private static final int MAXIMUM_CALLS_IN_FLIGHT = 4;
 
+    /**
+     * Time without a reply after which another server is asked, where tenants compete. Replies take
+     * a few milliseconds; an entry may itself be paused for a tenth of a second by its share of the
+     * processor.
+     */
+    private static final long STALL_MILLIS = 150;
+
     private final DirectContext context;
     private final EngineControlClient controlClient;
     private final String service;
@@ -200,53 +208,106 @@
         }
     }
 
+    /** A request whose reservation at a server is under way. */
+    private static final class PendingCall {
+        private final Waiter<ModelFlow> waiter;
+        private final DirectServer server;
+        private boolean abandoned;
+        private Optional<Subscription> stallTimer = Optional.empty();
+
+        PendingCall(Waiter<ModelFlow> waiter, DirectServer server) {
+            this.waiter = waiter;
+            this.server = server;
+        }
+
+        void end() {
+            stallTimer.ifPresent(Subscription::cancel);
+        }
+    }
+
+    /**
+     * Returns a request to the queue whose server does not reply, so that it and the requests
+     * behind it need not wait for the timeout. A reservation that is granted later is released.
+     */
+    private void abandon(PendingCall call) {
+        call.abandoned = true;
+        callsInFlight--;
+        call.waiter.item().releasePrefillClaim();
+        if (!call.waiter.item().isFinished()) {
+            queue.requeue(call.waiter);
+        }
+        processQueue();
+    }
+
+    /** Ends a call that was abandoned; its request is elsewhere by now. */
+    private void onLateReply(PendingCall call, Reply reply) {
+        long nowMillis = context.timer().nowMillis();
+        serverSelector.recordNoResponse(call.server);
+        if (!reply.hasResponse()) {
+            context.health().get(call.server).recordNoResponse(nowMillis);
+        }
+        reservationId(reply)
+                .ifPresent(
+                        id ->
+                                controlClient.send(
+                                        call.server,
+                                        context.platform()
+                                                .serverProtocol()
+                                                .newReleaseReservationCall(id),
+                                        released -> processQueue()));
+    }
+
     private void reserve(Waiter<ModelFlow> waiter, DirectServer server) {
         callsInFlight++;
         serverSelector.recordReservationRequest(server);
+        PendingCall call = new PendingCall(waiter, server);
+        if (waiter.item().competesWithTenants()) {
+            call.stallTimer = Optional.of(context.schedule(STALL_MILLIS, () -> abandon(call)));
+        }
         if (!supportsReservations()) {
-            onGranted(waiter, server, Optional.empty(), waiter.item().tokensToReserve());
+            onGranted(call, Optional.empty(), waiter.item().tokensToReserve());
         } else if (waiter.item().isUrgent() && !waiter.isLate()) {
             // The others leave capacity spare, in which an urgent request finds room.
-            sendReserveCall(waiter, server);
+            sendReserveCall(call);
         } else {
-            reserveWithSpareCapacity(waiter, server);
+            reserveWithSpareCapacity(call);
         }
     }
 
-    private void sendReserveCall(Waiter<ModelFlow> waiter, DirectServer server) {
-        ModelFlow flow = waiter.item();
+    private void sendReserveCall(PendingCall call) {
+        ModelFlow flow = call.waiter.item();
         long tokens = flow.tokensToReserve();
         controlClient.send(
-                server,
+                call.server,
                 context.platform()
                         .serverProtocol()
                         .newReserveCall(tokens, flow.reservationMillis()),
-                reply -> onReply(waiter, server, tokens, reply));
+                reply -> onReply(call, tokens, reply));
     }
 
     /**
      * Reserves more than the request needs, then replaces this by a reservation of the needed size,
      * so that the request is admitted only where enough capacity stays free.
      */
-    private void reserveWithSpareCapacity(Waiter<ModelFlow> waiter, DirectServer server) {
-        ModelFlow flow = waiter.item();
+    private void reserveWithSpareCapacity(PendingCall call) {
+        ModelFlow flow = call.waiter.item();
         ServerProtocol protocol = context.platform().serverProtocol();
         controlClient.send(
-                server,
+                call.server,
                 protocol.newReserveCall(
                         flow.tokensToReserve()
-                                + spareTokens(flow.tokensToReserve(), waiter.isLate()),
+                                + spareTokens(flow.tokensToReserve(), call.waiter.isLate()),
                         flow.reservationMillis()),
                 reply -> {
                     Optional<String> id = reservationId(reply);
-                    if (id.isEmpty()) {
-                        onReply(waiter, server, 0, reply);
+                    if (id.isEmpty() || call.abandoned) {
+                        onReply(call, 0, reply);
                         return;
                     }
                     controlClient.send(
-                            server,
+                            call.server,
                             protocol.newReleaseReservationCall(id.get()),
-                            released -> sendReserveCall(waiter, server));
+                            released -> sendReserveCall(call));
                 });
     }
 
@@ -271,14 +332,21 @@
                 : Optional.empty();
     }
 
-    private void onReply(Waiter<ModelFlow> waiter, DirectServer server, long tokens, Reply reply) {
+    private void onReply(PendingCall call, long tokens, Reply reply) {
+        call.end();
+        if (call.abandoned) {
+            onLateReply(call, reply);
+            return;
+        }
         Optional<String> id = reservationId(reply);
         if (id.isPresent()) {
-            onGranted(waiter, server, id, tokens);
+            onGranted(call, id, tokens);
             processQueue();
             return;
         }
         callsInFlight--;
+        Waiter<ModelFlow> waiter = call.waiter;
+        DirectServer server = call.server;
         waiter.item().releasePrefillClaim();
         long nowMillis = context.timer().nowMillis();
         serverSelector.recordRefusal(server, queue.size() + 1, waiter.item().isUrgent(), nowMillis);
@@ -291,13 +359,13 @@
         processQueue();
     }
 
-    private void onGranted(
-            Waiter<ModelFlow> waiter, DirectServer server, Optional<String> id, long tokens) {
+    private void onGranted(PendingCall call, Optional<String> id, long tokens) {
+        call.end();
         callsInFlight--;
-        serverSelector.recordReservation(server, tokens);
-        if (!waiter.item().isFinished()) {
+        serverSelector.recordReservation(call.server, tokens);
+        if (!call.waiter.item().isFinished()) {
             queue.recordGrant(context.timer().nowMillis());
         }
-        grant(waiter.item(), new Reservation(server, id, tokens));
+        grant(call.waiter.item(), new Reservation(call.server, id, tokens));
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -31,9 +31,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Stream;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -111,6 +113,7 @@
             new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
     private final CrashGuard crashGuard;
     private final CrashNotices crashNotices;
+    private final TenantQuotas quotas;
     private final EntryMembership membership;
     private final DirectFlowFactory flows;
     private final StageCoordinator coordinator;
@@ -124,6 +127,15 @@
                         httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
         PeerExchange peers = new PeerExchange(httpClient, this::peerAddresses, random);
         view = new DeploymentView(platform, store, timer, loop, random, peers);
+        String self = SettingParsers.text(initialSettings.controlAddress());
+        quotas =
+                new TenantQuotas(
+                        timer,
+                        loop,
+                        httpClient,
+                        self,
+                        () -> quotaConfiguration(self),
+                        new QuotaRecorder(registry, timer));
         DirectContext context =
                 new DirectContext(
                         platform,
@@ -134,6 +146,7 @@
                         new ServerHealthRegistry(),
                         rateLimits,
                         new WindowedRetryBudgets(name -> newRetryBudget()),
+                        quotas,
                         requestBuffers,
                         responseBuffers,
                         new DirectRequestRecorder(registry, timer, view::servers),
@@ -173,6 +186,7 @@
                         peers,
                         notices,
                         crashNotices,
+                        quotas.exchange(),
                         new MetricsTextEndpoint(registry),
                         new MetricsEndpoint(registry)));
     }
@@ -202,6 +216,8 @@
             BackendHttpClients.disableResponseProcessing(httpClient);
             // Subscribes to the view before it has anything to report.
             flows.start();
+            view.subscribe(quotas::configure);
+            quotas.start();
             loopMonitors.add("entry", loop);
             loopMonitors.addSelectors("client", httpClient);
             view.start();
@@ -250,6 +266,21 @@
         return List.copyOf(all);
     }
 
+    private TenantQuotas.Configuration quotaConfiguration(String self) {
+        Optional<Integer> count = membership.count();
+        List<String> members =
+                Stream.concat(
+                                Stream.of(self),
+                                membership.otherAddresses().stream().map(SettingParsers::text))
+                        .sorted()
+                        .toList();
+        return new TenantQuotas.Configuration(
+                view.routes(),
+                settings.get().quotaBounds(),
+                count.map(OptionalInt::of).orElse(OptionalInt.empty()),
+                members);
+    }
+
     private void recordNotice(StageChangeNotices.Notice notice) {
         coordinator.recordNotice(notice);
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -3,6 +3,7 @@
 import dev.foxtailshed.daemon.hosting.ServerProtocol.AttemptOptions;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
 import dev.foxtailshed.daemon.internal.http.HopByHopHeaders;
+import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.Verdict;
@@ -13,6 +14,7 @@
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
+import dev.foxtailshed.kernel.direct.tenant.Tenant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -39,6 +41,9 @@
      */
     private static final long RETRY_DELAY_MILLIS = 100;
 
+    /** Callers wait no longer before a retry than this part of the time that they have left. */
+    private static final long RETRY_TIME_DIVISOR = 3;
+
     final DirectContext context;
     final CallerRequest request;
     private final CallerStream caller;
@@ -50,6 +55,8 @@
     private int attempts;
     private boolean finished;
     private Optional<Subscription> deadlineTimer = Optional.empty();
+    private Optional<TenantQuotas.Waiter> creditWaiter = Optional.empty();
+    private boolean charged;
 
     /**
      * Creates a flow.
@@ -78,7 +85,48 @@
         long delayMillis = remainingMillis() - RESPONSE_MARGIN_MILLIS;
         deadlineTimer = Optional.of(context.schedule(delayMillis, this::onDeadline));
         retryBudget().recordRequest(context.timer().nowMillis());
-        begin();
+        if (request.tenant().isPresent()) {
+            awaitCredit(request.tenant().get());
+        } else {
+            begin();
+        }
+    }
+
+    private void awaitCredit(Tenant tenant) {
+        creditWaiter =
+                context.quotas()
+                        .admit(
+                                tenant,
+                                request.cost(),
+                                request.route().targetLatencyMillis(),
+                                remainingMillis(),
+                                this::onCredit,
+                                this::onNoCredit);
+    }
+
+    private void onCredit() {
+        creditWaiter = Optional.empty();
+        charged = true;
+        if (!finished) {
+            begin();
+        }
+    }
+
+    private void onNoCredit(long creditAfterMillis) {
+        creditWaiter = Optional.empty();
+        long retryAfterMillis =
+                Math.min(
+                        creditAfterMillis + retryDelayMillis(),
+                        Math.max(0, remainingMillis()) / RETRY_TIME_DIVISOR);
+        fail(
+                RequestFailure.notRun(
+                                ErrorCode.QUOTA_EXCEEDED, "the limit of the tenant is reached")
+                        .retryAfter(retryAfterMillis));
+    }
+
+    /** Returns whether a server has got a part of the request, such as its prompt. */
+    boolean hasReachedServer() {
+        return verdict != Verdict.NOT_RUN || hasAttemptInFlight();
     }
 
     /** Cancels all work because the caller has disconnected. */
@@ -341,6 +389,10 @@
     private void close() {
         finished = true;
         deadlineTimer.ifPresent(Subscription::cancel);
+        creditWaiter.ifPresent(TenantQuotas.Waiter::cancel);
+        if (charged && !hasReachedServer()) {
+            request.tenant().ifPresent(tenant -> context.quotas().refund(tenant, request.cost()));
+        }
         cancelWork();
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectSettings.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectSettings.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonParser;
 import dev.foxtailshed.daemon.hosting.JsonFields;
 import dev.foxtailshed.daemon.internal.settings.SettingParsers;
+import dev.foxtailshed.kernel.direct.quota.QuotaBounds;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -28,6 +29,7 @@
  * @param retryReserve the retries to a service allowed in addition to the ratio, over all entries
  * @param retryWindowMillis the sliding window over which requests and retries are counted
  * @param leaseMillis the lease time of the lease for stage changes
+ * @param quotaBounds how far the quotas of tenants may be exceeded
  * @param graceMillis the time between SIGTERM and SIGKILL
  */
 record DirectSettings(
@@ -43,10 +45,14 @@
         double retryReserve,
         long retryWindowMillis,
         long leaseMillis,
+        QuotaBounds quotaBounds,
         long graceMillis) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** A tenth above the limit, over ten seconds. */
+    private static final QuotaBounds DEFAULT_QUOTA_BOUNDS = new QuotaBounds(10_000, 0.1, 0);
+
     /**
      * Reads and parses a settings file.
      *
@@ -88,9 +94,19 @@
                 retryBudget.getDouble("reserve", 0),
                 millis(retryBudget, "windowSeconds"),
                 root.getLong("leaseMillis", 1),
+                root.getOptionalObject("quota")
+                        .map(DirectSettings::parseQuotaBounds)
+                        .orElse(DEFAULT_QUOTA_BOUNDS),
                 millis(root, "graceSeconds"));
     }
 
+    private static QuotaBounds parseQuotaBounds(JsonFields fields) {
+        return new QuotaBounds(
+                millis(fields, "windowSeconds"),
+                fields.getDouble("overage", 0),
+                fields.getDouble("slack", 0));
+    }
+
     private static long millis(JsonFields fields, String name) {
         return (long) (fields.getDouble(name, 0) * MILLIS_PER_SECOND);
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -101,6 +101,11 @@
         return service.tokensToReserve(tokenCounts);
     }
 
+    /** Returns whether requests of several tenants compete for the same servers. */
+    boolean competesWithTenants() {
+        return request.identity().isPresent();
+    }
+
     /** Returns whether the request goes before others that compete for the same servers. */
     boolean isUrgent() {
         return request.isUrgent();
@@ -337,6 +342,11 @@
         return relay.isPresent();
     }
 
+    @Override
+    boolean hasReachedServer() {
+        return prefillAttempts > 0 || super.hasReachedServer();
+    }
+
     /** One attempt to prefill the prompt. */
     private final class PrefillAttempt implements BackendCall.Listener {
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/TenantQuotas.java
@@ -0,0 +1,323 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import dev.foxtailshed.daemon.internal.direct.CreditMessages.DrawRequest;
+import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
+import dev.foxtailshed.kernel.TimerService;
+import dev.foxtailshed.kernel.direct.RouteTable;
+import dev.foxtailshed.kernel.direct.quota.Collect;
+import dev.foxtailshed.kernel.direct.quota.Decision;
+import dev.foxtailshed.kernel.direct.quota.Draw;
+import dev.foxtailshed.kernel.direct.quota.DrawReply;
+import dev.foxtailshed.kernel.direct.quota.QuotaAccounts;
+import dev.foxtailshed.kernel.direct.quota.QuotaBounds;
+import dev.foxtailshed.kernel.direct.quota.TokenQuota;
+import dev.foxtailshed.kernel.direct.tenant.Tenant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Admits requests within their tenants' quotas, and obtains credit from other entries for them.
+ *
+ * <p>A request for which there is no credit waits in the order of arrival of its tenant's requests,
+ * for a limited time; it is rejected at once if credit is not expected within that time. Other
+ * tenants are not affected. Runs on the entry's loop.
+ */
+final class TenantQuotas implements CreditExchange.Account {
+
+    /** Period in which waiting requests are checked; a fraction of any latency objective. */
+    private static final long TICK_MILLIS = 20;
+
+    /** Part of the latency objective that a request may wait for credit. */
+    private static final long OBJECTIVE_DIVISOR = 4;
+
+    /** Part of the time until its deadline that a request may wait after the entry's start. */
+    private static final long DEADLINE_DIVISOR = 2;
+
+    /**
+     * Time after the start in which requests wait for longer: a new process has hardly any credit,
+     * and when all entries start together, it takes about two rounds of collections to get some.
+     */
+    private static final long START_MILLIS = 4_000;
+
+    private static final long START_WAIT_MILLIS = 1_000;
+
+    private static final Deque<Waiter> NONE = new ArrayDeque<>();
+
+    private final TimerService timer;
+    private final SerialExecutor loop;
+    private final QuotaAccounts accounts;
+    private final CreditExchange exchange;
+    private final Supplier<Configuration> configuration;
+    private final QuotaRecorder recorder;
+    private final Map<String, Deque<Waiter>> waiters = new HashMap<>();
+    private Optional<Configuration> current = Optional.empty();
+    private OptionalLong firstMillis = OptionalLong.empty();
+
+    /**
+     * What the quotas depend on.
+     *
+     * @param routes the routes and tenants in force
+     * @param bounds how far the quotas may be exceeded
+     * @param entryCount the number of live entries, if it is known
+     * @param members the control addresses of the live entries, with this one
+     */
+    record Configuration(
+            Optional<RouteTable> routes,
+            QuotaBounds bounds,
+            OptionalInt entryCount,
+            List<String> members) {
+
+        /** Returns the quotas of the tenants that have one. */
+        Map<String, TokenQuota> quotas() {
+            Map<String, TokenQuota> quotas = new HashMap<>();
+            routes.flatMap(RouteTable::tenants)
+                    .ifPresent(
+                            tenants ->
+                                    tenants.byName()
+                                            .forEach(
+                                                    (name, tenant) ->
+                                                            tenant.quota()
+                                                                    .ifPresent(
+                                                                            quota ->
+                                                                                    quotas.put(
+                                                                                            name,
+                                                                                            quota))));
+            return quotas;
+        }
+
+        /** Returns whether another configuration has the same routes, bounds and members. */
+        boolean isSame(Configuration other) {
+            return routes.map(RouteTable::version).equals(other.routes.map(RouteTable::version))
+                    && bounds.equals(other.bounds)
+                    && entryCount.equals(other.entryCount)
+                    && members.equals(other.members);
+        }
+    }
+
+    /** A request that waits for credit. */
+    final class Waiter {
+        private final String tenant;
+        private final double tokens;
+        private final long arrivedMillis;
+        private final long expiryMillis;
+        private final Runnable admitted;
+        private final LongConsumer rejected;
+
+        private Waiter(
+                Tenant tenant,
+                double tokens,
+                long waitMillis,
+                Runnable admitted,
+                LongConsumer rejected) {
+            this.tenant = tenant.name();
+            this.tokens = tokens;
+            this.arrivedMillis = timer.nowMillis();
+            this.expiryMillis = arrivedMillis + waitMillis;
+            this.admitted = admitted;
+            this.rejected = rejected;
+        }
+
+        /** Stops waiting, without a call back. */
+        void cancel() {
+            Deque<Waiter> queue = waiters.get(tenant);
+            if (queue != null) {
+                queue.remove(this);
+            }
+        }
+    }
+
+    TenantQuotas(
+            TimerService timer,
+            SerialExecutor loop,
+            HttpClient httpClient,
+            String self,
+            Supplier<Configuration> configuration,
+            QuotaRecorder recorder) {
+        this.timer = timer;
+        this.loop = loop;
+        this.accounts = new QuotaAccounts(self);
+        this.exchange = new CreditExchange(httpClient, loop, this);
+        this.configuration = configuration;
+        this.recorder = recorder;
+    }
+
+    void start() {
+        timer.every(TICK_MILLIS, () -> loop.executeOrEnqueue(this::tick));
+    }
+
+    /** Returns the endpoint that answers other entries. */
+    CreditExchange exchange() {
+        return exchange;
+    }
+
+    /** Applies the current configuration, so that the next requests are subject to it. */
+    void configure() {
+        Configuration next = configuration.get();
+        if (current.isPresent() && current.get().isSame(next)) {
+            return;
+        }
+        current = Optional.of(next);
+        if (firstMillis.isEmpty() && next.entryCount().isPresent()) {
+            firstMillis = OptionalLong.of(timer.nowMillis());
+        }
+        accounts.configure(
+                next.quotas(), next.bounds(), next.entryCount(), next.members(), timer.nowMillis());
+    }
+
+    /**
+     * Admits a request as soon as its tenant has credit for it, possibly before this returns.
+     *
+     * @param tenant the tenant
+     * @param tokens the request's cost
+     * @param objectiveMillis the latency objective of the request
+     * @param remainingMillis the time until its deadline
+     * @param admitted continues with the request, whose cost is spent
+     * @param rejected receives the time in milliseconds after which there may be credit
+     * @return the waiting request, if it waits
+     */
+    Optional<Waiter> admit(
+            Tenant tenant,
+            double tokens,
+            long objectiveMillis,
+            long remainingMillis,
+            Runnable admitted,
+            LongConsumer rejected) {
+        long waitMillis = waitMillis(objectiveMillis, remainingMillis);
+        Waiter waiter = new Waiter(tenant, tokens, waitMillis, admitted, rejected);
+        Deque<Waiter> queue = waiters.computeIfAbsent(tenant.name(), name -> new ArrayDeque<>());
+        queue.add(waiter);
+        process(tenant.name());
+        return queue.contains(waiter) ? Optional.of(waiter) : Optional.empty();
+    }
+
+    private long waitMillis(long objectiveMillis, long remainingMillis) {
+        long usualMillis = objectiveMillis / OBJECTIVE_DIVISOR;
+        if (timer.nowMillis() - firstMillis.orElse(timer.nowMillis()) > START_MILLIS) {
+            return usualMillis;
+        }
+        long startMillis = Math.min(START_WAIT_MILLIS, remainingMillis / DEADLINE_DIVISOR);
+        return Math.max(usualMillis, startMillis);
+    }
+
+    /** Returns the cost of a request that has not reached a server. */
+    void refund(Tenant tenant, double tokens) {
+        accounts.refund(tenant.name(), tokens, timer.nowMillis());
+        recorder.recordRefund(tenant.name(), tokens);
+    }
+
+    /**
+     * Decides on the waiting requests of a tenant, in order of arrival. A request that costs no
+     * more than what is there does not wait behind a larger one, whose credit has to be drawn.
+     */
+    private void process(String tenant) {
+        for (Waiter waiter : List.copyOf(waiters.getOrDefault(tenant, NONE))) {
+            Deque<Waiter> queue = waiters.get(tenant);
+            // A request that was admitted or rejected may have cancelled others.
+            if (queue != null && queue.contains(waiter)) {
+                decide(waiter, queue);
+            }
+        }
+        if (waiters.getOrDefault(tenant, NONE).isEmpty()) {
+            waiters.remove(tenant);
+        }
+    }
+
+    private void decide(Waiter waiter, Deque<Waiter> queue) {
+        long nowMillis = timer.nowMillis();
+        Decision decision = accounts.spend(waiter.tenant, waiter.tokens, nowMillis);
+        switch (decision.outcome()) {
+            case ADMITTED -> {
+                queue.remove(waiter);
+                recorder.recordAdmission(
+                        waiter.tenant, waiter.tokens, nowMillis - waiter.arrivedMillis);
+                waiter.admitted.run();
+            }
+            case DRAW -> {
+                if (nowMillis < waiter.expiryMillis) {
+                    draw(waiter, nowMillis);
+                } else {
+                    reject(waiter, queue, 0);
+                }
+            }
+            case REJECTED -> {
+                if (nowMillis + decision.creditAfterMillis() >= waiter.expiryMillis) {
+                    reject(waiter, queue, decision.creditAfterMillis());
+                }
+            }
+            default -> throw new IllegalStateException("outcome " + decision.outcome());
+        }
+    }
+
+    private void reject(Waiter waiter, Deque<Waiter> queue, long creditAfterMillis) {
+        queue.remove(waiter);
+        recorder.recordRejection(waiter.tenant, waiter.tokens, creditAfterMillis);
+        waiter.rejected.accept(creditAfterMillis);
+    }
+
+    private void draw(Waiter waiter, long nowMillis) {
+        Optional<Draw> draw = accounts.nextDraw(waiter.tenant, waiter.tokens, nowMillis);
+        draw.ifPresent(sent -> exchange.send(sent, reply -> onDrawReply(sent, reply)));
+    }
+
+    private void onDrawReply(Draw draw, Optional<DrawReply> reply) {
+        long nowMillis = timer.nowMillis();
+        recorder.recordDraw(reply.map(DrawReply::tokens));
+        if (reply.isPresent()) {
+            accounts.onDrawReply(draw, reply.get(), nowMillis);
+        } else {
+            accounts.onDrawLost(draw, nowMillis);
+        }
+        process(draw.tenant());
+    }
+
+    private void onCollectReply(Collect collect, Optional<Map<String, Double>> reply) {
+        long nowMillis = timer.nowMillis();
+        recorder.recordCollection(reply.isPresent());
+        if (reply.isPresent()) {
+            accounts.onCollectReply(collect, reply.get(), nowMillis);
+        } else {
+            accounts.onCollectLost(collect, nowMillis);
+        }
+        collect.tenants().forEach(this::process);
+    }
+
+    private void collect() {
+        for (Collect collect : accounts.nextCollects(timer.nowMillis())) {
+            exchange.send(collect, reply -> onCollectReply(collect, reply));
+        }
+    }
+
+    private void tick() {
+        configure();
+        List.copyOf(waiters.keySet()).forEach(this::process);
+        collect();
+    }
+
+    @Override
+    public DrawReply onDraw(DrawRequest request) {
+        DrawReply reply =
+                accounts.onDraw(
+                        request.tenant(),
+                        request.neededTokens(),
+                        request.wantedTokens(),
+                        timer.nowMillis());
+        if (reply.tokens() <= 0) {
+            collect();
+        }
+        return reply;
+    }
+
+    @Override
+    public Map<String, Double> onCollect(List<String> tenants) {
+        return accounts.onCollect(tenants, timer.nowMillis());
+    }
+}
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -85,6 +85,8 @@
     NOTICE_NOT_DELIVERED(
             4205, Level.INFO, "A notice of a stage change did not reach another entry."),
     CRASH_NOTICE_NOT_DELIVERED(4206, Level.WARN, "A crash notice did not reach another entry."),
+    CREDIT_NOT_TRANSFERRED(
+            4207, Level.INFO, "A transfer of credit between entries failed; its credit is lost."),
     REQUEST_FAILED(5001, Level.INFO, "A request ended with an error."),
     REQUEST_RETRIED(5002, Level.INFO, "A request is retried with another attempt."),
     CALLER_GONE(5003, Level.INFO, "The caller disconnected; its request is cancelled."),
@@ -112,6 +114,8 @@
             5016,
             Level.INFO,
             "A request was refused, since no tenant has the key that it carries."),
+    TENANT_AT_LIMIT(
+            5017, Level.INFO, "Requests of a tenant were rejected, since it has no credit."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/UnsendableRequestTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/UnsendableRequestTest.java
@@ -114,6 +114,7 @@
                 health,
                 new ServerRateLimits(() -> 1, id -> 0),
                 new WindowedRetryBudgets(name -> new WindowedRetryBudget(1, () -> 10, 1_000)),
+                null,
                 new BufferBudget(1_000),
                 new BufferBudget(1_000),
                 new DirectRequestRecorder(new MetricRegistry(), timer, () -> ServerCatalog.EMPTY),
