Share an entry's queue fairly among tenants, and refuse those that crowd

Cause: requests of equal priority were served by arrival, so that the tenant that sent the most got the most, and whoever returned at once after a refusal took the places of those that waited. Less urgent requests could starve behind urgent ones. Change: AdmissionQueue takes a claim with the tenant and the tokens. Inside a priority, tenants share by start-time fair queueing in tokens, with equal weights; requests that end unserved do not count. An arrival that comes before others may leave no time for these; they are returned and refused at once with a Retry-After. Without tenants the order and the rejections are as before. DecodeReservations takes requests out with take(), which counts as service while the reservation is in flight. The existing tests changed only in the call of enqueue and its result.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -3,6 +3,8 @@
 import dev.foxtailshed.daemon.hosting.ServerProtocol;
 import dev.foxtailshed.daemon.internal.direct.EngineControlClient.Reply;
 import dev.foxtailshed.kernel.direct.AdmissionQueue;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Claim;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Enqueued;
 import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.DecodeServerSelector;
 import dev.foxtailshed.kernel.direct.DirectServer;
@@ -63,19 +65,20 @@
      */
     record Reservation(DirectServer server, Optional<String> id, long tokens) {}
 
-    /** Adds a request to the queue; returns empty if it cannot be served in time or at all. */
-    Optional<Waiter<ModelFlow>> enqueue(
-            ModelFlow flow, int priority, boolean late, long giveUpAtMillis) {
+    /**
+     * Adds a request to the queue; returns empty if it cannot be served in time or at all. Refuses
+     * queued requests that can no longer be served in time because the new one comes before them.
+     */
+    Optional<Waiter<ModelFlow>> enqueue(ModelFlow flow, Claim claim) {
         long nowMillis = context.timer().nowMillis();
-        boolean tooLarge =
-                engineSpec().filter(e -> flow.tokensToReserve() > e.kvCacheTokens()).isPresent();
+        boolean tooLarge = engineSpec().filter(e -> claim.tokens() > e.kvCacheTokens()).isPresent();
         if (tooLarge || context.view().servers().decodeCapable(service).isEmpty()) {
             return Optional.empty();
         }
-        Optional<Waiter<ModelFlow>> waiter =
-                queue.enqueue(flow, priority, late, giveUpAtMillis, nowMillis);
+        Enqueued<ModelFlow> enqueued = queue.enqueue(flow, claim, nowMillis);
+        enqueued.rejected().forEach(ModelFlow::onWaitExpired);
         processQueue();
-        return waiter;
+        return enqueued.waiter();
     }
 
     void removeWaiter(Waiter<ModelFlow> waiter) {
@@ -190,7 +193,7 @@
             if (!waiter.item().claimPrefill()) {
                 return;
             }
-            queue.remove(waiter);
+            queue.take(waiter);
             reserve(waiter, server.get());
         }
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -5,6 +5,7 @@
 import dev.foxtailshed.daemon.internal.direct.DirectRequestRecorder.StreamTimings;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
 import dev.foxtailshed.kernel.Verdict;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Claim;
 import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
@@ -12,6 +13,7 @@
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.PrefillServerSelector;
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
+import dev.foxtailshed.kernel.direct.tenant.Tenant;
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Optional;
@@ -84,9 +86,14 @@
         }
         long nowMillis = context.timer().nowMillis();
         boolean late = service.isLate(request, nowMillis);
-        long giveUpAtMillis = service.giveUpAtMillis(request, late || resuming, nowMillis);
-        Optional<Waiter<ModelFlow>> enqueued =
-                service.reservations().enqueue(this, request.priority(), late, giveUpAtMillis);
+        Claim claim =
+                new Claim(
+                        request.tenant().map(Tenant::name),
+                        request.priority(),
+                        late,
+                        service.giveUpAtMillis(request, late || resuming, nowMillis),
+                        tokensToReserve());
+        Optional<Waiter<ModelFlow>> enqueued = service.reservations().enqueue(this, claim);
         if (enqueued.isEmpty()) {
             refuse(
                     "no prefill or decode capacity in time, or none at all: "
@@ -123,7 +130,7 @@
         claimedPrefillServer = Optional.empty();
     }
 
-    /** Refuses the request because its waiting time in the queue has expired. */
+    /** Refuses the request because its waiting time in the queue has expired, or will have. */
     void onWaitExpired() {
         waiter = Optional.empty();
         refuse("no prefill or decode capacity in time");
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/AdmissionQueue.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/AdmissionQueue.java
@@ -1,20 +1,30 @@
 package dev.foxtailshed.kernel.direct;
 
+import dev.foxtailshed.kernel.direct.TenantShares.Charge;
+import dev.foxtailshed.kernel.direct.TenantShares.Flow;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
- * Orders the requests that wait for decode capacity and rejects those that cannot be served in
- * time.
+ * Orders the requests that wait for capacity and rejects those that cannot be served in time.
  *
  * <p>Under first-come-first-served order, a burst above the pool's capacity makes every request
- * late. Requests that can still meet their latency objective therefore come first, by priority and
- * then by arrival; late requests follow. A request is rejected on arrival if serving the queue
- * ahead of it takes longer than it can wait, and removed from the queue as soon as its wait limit
- * passes. Request size does not affect the order, so that small requests cannot starve large ones.
- * Not thread-safe.
+ * late. Requests that can still meet their latency objective therefore come first, by priority, and
+ * late requests follow. A request is rejected on arrival if serving the queue ahead of it takes
+ * longer than it can wait, and removed from the queue as soon as its wait limit passes.
+ *
+ * <p>Where requests have tenants, a burst of one of them must not displace the others. Inside a
+ * priority, tenants then share capacity equally, in tokens, however many requests they send and
+ * however soon they return after a rejection; see {@link TenantShares}. The requests of a tenant
+ * that sends more than its share are last, wait longest, and are rejected as soon as requests that
+ * come before them leave no time. A tenant or priority that is served much more rarely than all
+ * requests are gets a turn: its first request comes before the others that are in time.
+ *
+ * <p>Without tenants, requests of equal priority are served by arrival and there are no turns.
+ * Requests without a tenant share as one tenant if there are others. Not thread-safe.
  *
  * @param <T> the type of the queued items
  */
@@ -26,16 +36,47 @@
     /** Longer intervals mean that the queue was idle, not that the pool was full. */
     private static final long MAXIMUM_INTERVAL_MILLIS = 1_000;
 
+    /**
+     * Factor on the expected wait of queued requests. The average of about eight random intervals
+     * is often wrong by a quarter, and a queued request is checked many times.
+     */
+    private static final double REJECTION_CONFIDENCE = 0.75;
+
     private static final Comparator<Waiter<?>> ORDER =
-            Comparator.<Waiter<?>>comparingInt(waiter -> waiter.late ? 1 : 0)
-                    .thenComparingInt(waiter -> waiter.priority)
+            Comparator.<Waiter<?>>comparingInt(waiter -> waiter.claim.late() ? 1 : 0)
+                    .thenComparingInt(waiter -> waiter.hasTurn ? 0 : 1)
+                    .thenComparingInt(waiter -> waiter.claim.priority())
+                    .thenComparingLong(waiter -> waiter.tag)
                     .thenComparingLong(waiter -> waiter.sequence);
 
     private final List<Waiter<T>> waiters = new ArrayList<>();
+    private final TenantShares shares = new TenantShares();
     private long nextSequence;
     private long lastGrantMillis = Long.MIN_VALUE;
     private double grantIntervalMillis;
 
+    /**
+     * A request for capacity.
+     *
+     * @param tenant the name of the tenant that sent the request, if any
+     * @param priority the priority; 0 is the most urgent
+     * @param late whether the request has already missed its latency objective
+     * @param giveUpMillis the time at which the request leaves the queue unserved
+     * @param tokens the capacity that the request needs
+     */
+    public record Claim(
+            Optional<String> tenant, int priority, boolean late, long giveUpMillis, long tokens) {}
+
+    /**
+     * The result of adding a request.
+     *
+     * @param waiter the queued request, or empty if it must be rejected
+     * @param rejected the requests that have left the queue because the new one comes before them
+     *     and they can no longer be served in time
+     * @param <T> the type of the queued items
+     */
+    public record Enqueued<T>(Optional<Waiter<T>> waiter, List<T> rejected) {}
+
     /**
      * A queued request.
      *
@@ -43,16 +84,19 @@
      */
     public static final class Waiter<T> {
         private final T item;
-        private final int priority;
-        private final boolean late;
-        private final long giveUpMillis;
+        private final Claim claim;
+        private final Flow flow;
         private final long sequence;
+        private long tag;
+        private boolean hasTurn;
+        private boolean taken;
+        private Optional<Charge> charge = Optional.empty();
 
-        private Waiter(T item, int priority, boolean late, long giveUpMillis, long sequence) {
+        private Waiter(T item, Claim claim, Flow flow, long tag, long sequence) {
             this.item = item;
-            this.priority = priority;
-            this.late = late;
-            this.giveUpMillis = giveUpMillis;
+            this.claim = claim;
+            this.flow = flow;
+            this.tag = tag;
             this.sequence = sequence;
         }
 
@@ -62,7 +106,7 @@
          * @return true for late requests
          */
         public boolean isLate() {
-            return late;
+            return claim.late();
         }
 
         /**
@@ -73,38 +117,145 @@
         public T item() {
             return item;
         }
+
+        private boolean isBehind(Waiter<T> other) {
+            return flow == other.flow && sequence > other.sequence;
+        }
     }
 
     /**
      * Adds a request unless it cannot be served in time.
      *
      * @param item the item to queue
-     * @param priority the priority; 0 is the most urgent
-     * @param late whether the request has already missed its latency objective
-     * @param giveUpMillis the time at which the request leaves the queue unserved
+     * @param claim the capacity that the item needs
      * @param nowMillis the current time
-     * @return the queued request, or empty if it must be rejected
+     * @return the queued request, if any, and the requests that are rejected in its favor
      */
-    public Optional<Waiter<T>> enqueue(
-            T item, int priority, boolean late, long giveUpMillis, long nowMillis) {
-        Waiter<T> waiter = new Waiter<>(item, priority, late, giveUpMillis, nextSequence++);
-        long ahead = waiters.stream().filter(other -> ORDER.compare(other, waiter) < 0).count();
-        if (ahead > 0 && nowMillis + ahead * grantIntervalMillis > giveUpMillis) {
-            return Optional.empty();
+    public Enqueued<T> enqueue(T item, Claim claim, long nowMillis) {
+        Flow flow = shares.flow(claim, nowMillis);
+        long tag = shares.assignTag(flow, claim.tokens());
+        Waiter<T> waiter = new Waiter<>(item, claim, flow, tag, nextSequence++);
+        add(waiter);
+        if (shares.hasTenants()) {
+            giveDueTurns(waiter);
+            return rejectUnservable(waiter, nowMillis);
         }
+        int ahead = waiters.indexOf(waiter);
+        if (!isServable(waiter, ahead, grantIntervalMillis, nowMillis)) {
+            remove(waiter);
+            return new Enqueued<>(Optional.empty(), List.of());
+        }
+        return new Enqueued<>(Optional.of(waiter), List.of());
+    }
+
+    private void add(Waiter<T> waiter) {
+        shares.recordWaiting(waiter.flow);
         waiters.add(waiter);
         waiters.sort(ORDER);
-        return Optional.of(waiter);
+    }
+
+    private static boolean isServable(
+            Waiter<?> waiter, int ahead, double intervalMillis, long nowMillis) {
+        return ahead == 0 || nowMillis + ahead * intervalMillis <= waiter.claim.giveUpMillis();
+    }
+
+    /** Gives turns that are due to the arrived request's tenant and priority. */
+    private void giveDueTurns(Waiter<T> arrived) {
+        if (arrived.isLate()) {
+            return;
+        }
+        shares.recordArrival(arrived.flow, arrived.claim.tokens());
+        firstWithoutTurn(waiter -> waiter.flow == arrived.flow)
+                .filter(first -> shares.isTurnDueToFlow(first.flow, first.claim.tokens()))
+                .ifPresent(this::giveTurn);
+        firstWithoutTurn(waiter -> waiter.flow.isSameLevel(arrived.flow))
+                .filter(first -> shares.isTurnDueToLevel(first.flow, first.claim.tokens()))
+                .ifPresent(this::giveTurn);
+    }
+
+    private Optional<Waiter<T>> firstWithoutTurn(Predicate<Waiter<T>> predicate) {
+        return waiters.stream().filter(waiter -> !waiter.hasTurn).filter(predicate).findFirst();
+    }
+
+    private void giveTurn(Waiter<T> waiter) {
+        waiter.hasTurn = true;
+        waiter.charge = Optional.of(shares.charge(waiter.flow, waiter.claim.tokens()));
+        waiters.sort(ORDER);
     }
 
     /**
-     * Returns a removed request to its previous position.
+     * Rejects what can no longer be served in time because of an arrival: the arrived request, or
+     * requests behind it. Requests that will not be served do not delay those behind them.
+     */
+    private Enqueued<T> rejectUnservable(Waiter<T> arrived, long nowMillis) {
+        List<T> rejected = new ArrayList<>();
+        int ahead = 0;
+        double intervalMillis = grantIntervalMillis;
+        boolean isBehindArrived = false;
+        for (Waiter<T> waiter : List.copyOf(waiters)) {
+            boolean servable = isServable(waiter, ahead, intervalMillis, nowMillis);
+            if (servable) {
+                ahead++;
+            } else if (waiter == arrived) {
+                remove(waiter);
+                return new Enqueued<>(Optional.empty(), List.of());
+            } else if (isBehindArrived) {
+                remove(waiter);
+                rejected.add(waiter.item);
+            }
+            if (waiter == arrived) {
+                isBehindArrived = true;
+                intervalMillis *= REJECTION_CONFIDENCE;
+            }
+        }
+        return new Enqueued<>(Optional.of(arrived), rejected);
+    }
+
+    /**
+     * Takes a request out of the queue to reserve capacity for it. Then {@link #recordGrant} must
+     * be called, {@link #requeue} or {@link #remove}.
      *
      * @param waiter the queued request
      */
+    public void take(Waiter<T> waiter) {
+        waiters.remove(waiter);
+        shares.recordNotWaiting(waiter.flow);
+        waiter.taken = true;
+        if (!waiter.hasTurn) {
+            shares.advance(waiter.flow, waiter.tag);
+            waiter.charge = Optional.of(shares.charge(waiter.flow, waiter.claim.tokens()));
+        }
+        if (!waiter.isLate()) {
+            shares.recordServed(waiter.claim.tokens());
+        }
+    }
+
+    /**
+     * Returns a request that was taken to its previous position.
+     *
+     * @param waiter the request
+     */
     public void requeue(Waiter<T> waiter) {
-        waiters.add(waiter);
-        waiters.sort(ORDER);
+        undoTake(waiter);
+        add(waiter);
+    }
+
+    private void undoTake(Waiter<T> waiter) {
+        if (!waiter.taken) {
+            return;
+        }
+        waiter.taken = false;
+        if (!waiter.hasTurn) {
+            refund(waiter);
+        }
+        if (!waiter.isLate()) {
+            shares.recordServed(-waiter.claim.tokens());
+        }
+    }
+
+    private void refund(Waiter<T> waiter) {
+        waiter.charge.ifPresent(charge -> shares.refund(waiter.flow, charge));
+        waiter.charge = Optional.empty();
     }
 
     /**
@@ -117,13 +268,28 @@
     }
 
     /**
-     * Removes a request from the queue.
+     * Removes a request that ends unserved, in the queue or after it was taken.
      *
-     * @param waiter the queued request
+     * @param waiter the request
      * @return false if it was not in the queue
      */
     public boolean remove(Waiter<T> waiter) {
-        return waiters.remove(waiter);
+        boolean queued = waiters.remove(waiter);
+        if (!queued && !waiter.taken) {
+            return false;
+        }
+        if (queued) {
+            shares.recordNotWaiting(waiter.flow);
+        }
+        undoTake(waiter);
+        refund(waiter);
+        long tokens = waiter.claim.tokens();
+        shares.recordUnserved(waiter.flow, tokens);
+        waiters.stream()
+                .filter(other -> other.isBehind(waiter))
+                .forEach(other -> other.tag = shares.tagWithout(other.flow, other.tag, tokens));
+        waiters.sort(ORDER);
+        return queued;
     }
 
     /**
@@ -146,16 +312,10 @@
      * @return the removed items
      */
     public List<T> removeExpired(long nowMillis) {
-        List<T> expired = new ArrayList<>();
-        waiters.removeIf(
-                waiter -> {
-                    boolean isExpired = waiter.giveUpMillis <= nowMillis;
-                    if (isExpired) {
-                        expired.add(waiter.item);
-                    }
-                    return isExpired;
-                });
-        return expired;
+        List<Waiter<T>> expired =
+                waiters.stream().filter(w -> w.claim.giveUpMillis() <= nowMillis).toList();
+        expired.forEach(this::remove);
+        return expired.stream().map(Waiter::item).toList();
     }
 
     /**
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionBurstReplayTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionBurstReplayTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Claim;
 import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -118,7 +119,8 @@
             while (!arrivals.isEmpty() && arrivals.peek().arrivedMillis() <= now) {
                 Caller caller = arrivals.poll();
                 long giveUpMillis = caller.arrivedMillis() + OBJECTIVE_MILLIS - PREFILL_MILLIS;
-                if (queue.enqueue(caller, 1, false, giveUpMillis, now).isEmpty()) {
+                Claim claim = new Claim(Optional.empty(), 1, false, giveUpMillis, 3_000);
+                if (queue.enqueue(caller, claim, now).waiter().isEmpty()) {
                     refused.add(caller);
                 }
             }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/PrefillQueueReplayTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/PrefillQueueReplayTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Claim;
 import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.DirectServer.Stage;
 import dev.foxtailshed.kernel.direct.PrefillServerSelector.Prompt;
@@ -102,7 +103,8 @@
                 Arrival next = upcoming.remove();
                 // The last prompt to be claimed is processed after those of the other entries.
                 long giveUpMillis = next.millis() + OBJECTIVE_MILLIS - ENTRIES * PREFILL_MILLIS;
-                queues.get(next.entry()).enqueue(next, 1, false, giveUpMillis, now);
+                Claim claim = new Claim(Optional.empty(), 1, false, giveUpMillis, PROMPT_TOKENS);
+                queues.get(next.entry()).enqueue(next, claim, now);
             }
             for (int i = 0; i < ENTRIES; i++) {
                 queues.get(i).removeExpired(now);
