--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -4,6 +4,8 @@
 import dev.foxtailshed.daemon.internal.direct.EngineControlClient.Reply;
 import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.AdmissionQueue;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Claim;
+import dev.foxtailshed.kernel.direct.AdmissionQueue.Enqueued;
 import dev.foxtailshed.kernel.direct.AdmissionQueue.Waiter;
 import dev.foxtailshed.kernel.direct.DecodeServerSelector;
 import dev.foxtailshed.kernel.direct.DirectServer;
@@ -71,19 +73,20 @@
      */
     record Reservation(DirectServer server, Optional<String> id, long tokens) {}
 
-    /** Adds a request to the queue; returns empty if it cannot be served in time or at all. */
-    Optional<Waiter<ModelFlow>> enqueue(
-            ModelFlow flow, int priority, boolean late, long giveUpAtMillis) {
+    /**
+     * Adds a request to the queue; returns empty if it cannot be served in time or at all. Refuses
+     * queued requests that can no longer be served in time because the new one comes before them.
+     */
+    Optional<Waiter<ModelFlow>> enqueue(ModelFlow flow, Claim claim) {
         long nowMillis = context.timer().nowMillis();
-        boolean tooLarge =
-                engineSpec().filter(e -> flow.tokensToReserve() > e.kvCacheTokens()).isPresent();
+        boolean tooLarge = engineSpec().filter(e -> claim.tokens() > e.kvCacheTokens()).isPresent();
         if (tooLarge || context.view().servers().decodeCapable(service).isEmpty()) {
             return Optional.empty();
         }
-        Optional<Waiter<ModelFlow>> waiter =
-                queue.enqueue(flow, priority, late, giveUpAtMillis, nowMillis);
+        Enqueued<ModelFlow> enqueued = queue.enqueue(flow, claim, nowMillis);
+        enqueued.rejected().forEach(ModelFlow::onWaitExpired);
         processQueue();
-        return waiter;
+        return enqueued.waiter();
     }
 
     void removeWaiter(Waiter<ModelFlow> waiter) {
@@ -121,7 +124,7 @@
 
     /** Releases an unused reservation. */
     void release(Reservation reservation) {
-        serverSelector.recordRelease(reservation.server(), reservation.tokens());
+        recordRelease(reservation);
         if (reservation.id().isEmpty()) {
             processQueue();
             return;
@@ -134,9 +137,17 @@
                 reply -> processQueue());
     }
 
+    private void recordRelease(Reservation reservation) {
+        if (queue.isYielding()) {
+            serverSelector.recordYieldedRelease(reservation.server(), reservation.tokens());
+        } else {
+            serverSelector.recordRelease(reservation.server(), reservation.tokens());
+        }
+    }
+
     /** Records that the request which used a reservation has ended. */
     void recordRequestEnd(Reservation reservation) {
-        serverSelector.recordRelease(reservation.server(), reservation.tokens());
+        recordRelease(reservation);
         processQueue();
     }
 
@@ -203,7 +214,7 @@
             if (!waiter.item().claimPrefill()) {
                 return;
             }
-            queue.remove(waiter);
+            queue.take(waiter);
             reserve(waiter, server.get());
         }
     }
@@ -349,7 +360,8 @@
         DirectServer server = call.server;
         waiter.item().releasePrefillClaim();
         long nowMillis = context.timer().nowMillis();
-        serverSelector.recordRefusal(server, queue.size() + 1, waiter.item().isUrgent(), nowMillis);
+        serverSelector.recordRefusal(
+                server, queue.demand(waiter), waiter.item().isUrgent(), nowMillis);
         if (!reply.hasResponse()) {
             context.health().get(server).recordNoResponse(nowMillis);
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/TenantQuotas.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/TenantQuotas.java
@@ -37,7 +37,13 @@
     private static final long TICK_MILLIS = 20;
 
     /** Part of the latency objective that a request may wait for credit. */
-    private static final long OBJECTIVE_DIVISOR = 4;
+    private static final long OBJECTIVE_DIVISOR = 2;
+
+    /**
+     * Time of one round of collections. An estimate within it depends on when the next round comes,
+     * which may be sooner, so that a request is not rejected because of it alone.
+     */
+    private static final long ROUND_MILLIS = 600;
 
     /** Part of the time until its deadline that a request may wait after the entry's start. */
     private static final long DEADLINE_DIVISOR = 2;
@@ -249,7 +255,10 @@
                 }
             }
             case REJECTED -> {
-                if (nowMillis + decision.creditAfterMillis() >= waiter.expiryMillis) {
+                long leftMillis = waiter.expiryMillis - nowMillis;
+                boolean isHopeless =
+                        decision.creditAfterMillis() > Math.max(leftMillis, ROUND_MILLIS);
+                if (leftMillis <= 0 || isHopeless) {
                     reject(waiter, queue, decision.creditAfterMillis());
                 }
             }
