--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/TenantQuotas.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/TenantQuotas.java
@@ -50,11 +50,12 @@
 
     /**
      * Time after the start in which requests wait for longer: a new process has hardly any credit,
-     * and when all entries start together, it takes about two rounds of collections to get some.
+     * and when all entries start together, callers that wait for them use up what there is for
+     * several rounds of collections.
      */
-    private static final long START_MILLIS = 4_000;
+    private static final long START_MILLIS = 6_000;
 
-    private static final long START_WAIT_MILLIS = 1_000;
+    private static final long START_WAIT_MILLIS = 2_500;
 
     private static final Deque<Waiter> NONE = new ArrayDeque<>();
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CreditLimits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CreditLimits.java
@@ -8,11 +8,11 @@
  * drawnMillis} at the entry that drew it. So all tokens that are spent in a window have accrued in
  * that window or in the sum of these times before it. The sum is the time in which the burst and
  * {@link #STORED_SHARE} of the excess accrue. This needs no agreement about who is the home, unlike
- * a limit on the size of each pool: a partition makes two homes, and two full pools of a tenant
- * with a large burst exceed the bound.
+ * a limit on the size of each pool alone: a lost message or a partition makes two homes, and two
+ * pools with the burst each may exceed the bound of a tenant with a large burst.
  *
- * <p>The rest of the excess covers what entries accrue beyond the rate while some of them count too
- * few entries, the credit of new processes and the debt of a home.
+ * <p>The rest of the excess covers the credit of new processes, the debt of a home, and what
+ * entries accrue beyond the rate while some of them count too few entries.
  *
  * @param tokensPerMilli the rate of the tenant over all entries
  * @param burstTokens the burst of the tenant
@@ -36,7 +36,7 @@
      * Part of the excess that all entries together get when they start. All of them may start ten
      * times in a window, which uses up what may not be stored.
      */
-    private static final double INITIAL_SHARE = 0.15;
+    private static final double INITIAL_SHARE = 0.04;
 
     /** Part of the excess that a home may lend to a request that is larger than the burst. */
     private static final double DEBT_SHARE = 0.1;
@@ -48,14 +48,20 @@
     private static final double MAXIMUM_STORED_WINDOWS = 4;
 
     /** Drawn credit is mostly spent at once. */
-    private static final double DRAWN_FRACTION =
-            Double.parseDouble(System.getProperty("df", "0.1"));
+    private static final double DRAWN_FRACTION = 0.1;
 
     /** Longest time that a draw may take; later replies are of no use to the caller. */
     private static final long MAXIMUM_DRAWN_MILLIS = 500;
 
-    private static final double MAXIMUM_POOL_FRACTION =
-            Double.parseDouble(System.getProperty("pf", "0.45"));
+    /** The local buckets, too, have to keep what accrues between two collections. */
+    private static final double MAXIMUM_POOL_FRACTION = 0.45;
+
+    /**
+     * How long a pool keeps credit, in relation to the time in which the burst accrues. At 1, a
+     * pool loses 2 to 4 % of the traffic at the limit, as only a part of the credit goes through
+     * it.
+     */
+    private static final double POOL_BURSTS = 1.5;
 
     /** A pool keeps credit for longer than the time between two collections. */
     private static final long MINIMUM_POOL_MILLIS = QuotaAccounts.COLLECT_INTERVAL_MILLIS * 3 / 2;
@@ -72,7 +78,9 @@
         double drawnMillis = Math.min(MAXIMUM_DRAWN_MILLIS, DRAWN_FRACTION * storedMillis);
         double poolMillis =
                 Math.min(
-                        Math.max(MINIMUM_POOL_MILLIS, burstMillis),
+                        Math.max(
+                                MINIMUM_POOL_MILLIS,
+                                Double.parseDouble(System.getProperty("bm", "1.5")) * burstMillis),
                         MAXIMUM_POOL_FRACTION * storedMillis);
         return new CreditLimits(
                 tokensPerMilli,
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/PeerFailures.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/PeerFailures.java
@@ -19,6 +19,10 @@
 
     private record Skip(long skipMillis, long untilMillis) {}
 
+    boolean isEmpty() {
+        return skips.isEmpty();
+    }
+
     boolean isUsable(String peer, long nowMillis) {
         Skip skip = skips.get(peer);
         return skip == null || nowMillis >= skip.untilMillis;
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/TenantCredit.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/TenantCredit.java
@@ -1,32 +1,44 @@
 package dev.foxtailshed.kernel.direct.quota;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * One tenant's credit at one entry: the local bucket, the credit that was drawn from the home, and
- * the pool if this entry serves draws. Not thread-safe.
+ * the pool if this entry is asked for draws. Not thread-safe.
  */
 final class TenantCredit {
 
     /** Time constant of the estimated demand. */
     private static final double DEMAND_MILLIS = 2_000;
 
+    /** Weight of the newest request in the mean cost. */
+    private static final double COST_WEIGHT = 0.1;
+
+    /** Part of the life of drawn credit for which an entry draws in advance. */
+    private static final double PREFETCH_FRACTION = 0.25;
+
     /**
-     * Demand for which an entry keeps its local credit when a home collects: what it expects until
-     * the next collection.
+     * Fewest requests that an entry draws in advance for. Less may not cover a request, and would
+     * expire here while other entries need it.
      */
-    private static final double KEEP_MILLIS = QuotaAccounts.COLLECT_INTERVAL_MILLIS;
+    private static final double MINIMUM_PREFETCH_REQUESTS = 2;
 
-    /** Demand for which an entry draws in advance. */
-    private static final double PREFETCH_FRACTION = 0.25;
+    /**
+     * Time after a refused draw without draws in advance. At the limit they would let large
+     * requests save up the credit of small ones.
+     */
+    private static final long SCARCE_MILLIS = 2 * QuotaAccounts.COLLECT_INTERVAL_MILLIS;
+
+    /** How much smaller than a refused draw another one must be, to be worth a try. */
+    private static final double SMALLER_DRAW = 0.5;
 
     private CreditLimits limits;
     private int entries;
     private double local;
     private long refilledMillis;
     private final ExpiringCredit drawn = new ExpiringCredit();
-    private final ExpiringCredit pool = new ExpiringCredit();
-    private double debt;
+    private Optional<CreditPool> pool = Optional.empty();
     private double lost;
 
     private double demandPerMilli;
@@ -34,19 +46,11 @@
     private double meanCost;
 
     private Optional<Draw> drawInFlight = Optional.empty();
-    private long refusedUntilMillis;
+    private long refusedUntilMillis = Long.MIN_VALUE / 2;
     private double refusedTokens;
 
-    private boolean isPoolUsed;
-    private long poolUsedMillis;
-    private boolean isDemandUnmet;
-    private double collectedTokens;
-    private double roundTokens;
-    double gate = -1;
-    long gateMillis;
-
     /**
-     * Creates an empty account.
+     * Creates an account without credit.
      *
      * @param limits the limits
      * @param entries the number of entries; 0 if unknown, so that nothing accrues
@@ -63,6 +67,7 @@
         return limits;
     }
 
+    /** Returns the transferred or saved credit that was lost, in all. */
     double lost() {
         return lost;
     }
@@ -71,10 +76,9 @@
     void configure(CreditLimits newLimits, int newEntries, long nowMillis) {
         refresh(newEntries, nowMillis);
         limits = newLimits;
-        lost += Math.max(0, local - localCap());
-        local = Math.min(localCap(), local);
+        cutLocal();
         lost += drawn.take(Math.max(0, drawn.total() - localCap()));
-        lost += pool.take(Math.max(0, pool.total() - limits.poolCapTokens()));
+        pool.ifPresent(present -> present.configure(newLimits));
     }
 
     /** Adds the credit of a new process. */
@@ -86,58 +90,56 @@
     void refresh(int newEntries, long nowMillis) {
         long elapsedMillis = Math.max(0, nowMillis - refilledMillis);
         double accrued = entries == 0 ? 0 : limits.localRate(entries) * elapsedMillis;
+        // Accrual to a full bucket is not counted as lost: a central bucket overflows as well.
         local = Math.min(localCap(), local + accrued);
         refilledMillis += elapsedMillis;
         if (newEntries != entries) {
             entries = newEntries;
-            lost += Math.max(0, local - localCap());
-            local = Math.min(localCap(), local);
+            cutLocal();
         }
         lost += drawn.expire(limits.drawnMillis(), nowMillis);
-        lost += pool.expire(limits.poolMillis(), nowMillis);
-    }
-
-    /** Returns the credit that this entry can spend without a draw. */
-    double available() {
-        return local + drawn.total() + poolAvailable();
+        if (pool.isPresent()) {
+            pool.get().refresh(nowMillis);
+            lost += pool.get().takeLost();
+        }
     }
 
-    double local() {
-        return local + drawn.total();
+    private void cutLocal() {
+        lost += Math.max(0, local - localCap());
+        local = Math.min(localCap(), local);
     }
 
-    double poolBalance() {
-        return pool.total() - debt;
+    private double localCap() {
+        return entries == 0 ? local : limits.localCapTokens(entries);
     }
 
-    private double poolAvailable() {
-        return Math.max(0, poolBalance());
+    private double localRoom() {
+        return Math.max(0, localCap() - local - drawn.total());
     }
 
-    private double localCap() {
-        return entries == 0 ? local : limits.localCapTokens(entries);
+    /** Returns the credit that this entry has for itself, without the pool. */
+    double own() {
+        return local + drawn.total();
     }
 
-    /** Removes credit that is available, the credit that expires first before other. */
-    void spend(double tokens) {
-        double missing = tokens - drawn.take(Math.min(tokens, drawn.total()));
-        double fromLocal = Math.min(missing, local);
-        local -= fromLocal;
-        pool.take(Math.min(missing - fromLocal, pool.total()));
+    /** Spends own credit, the drawn part first, as it expires sooner. */
+    void spendOwn(double tokens) {
+        double fromDrawn = drawn.take(Math.min(tokens, drawn.total()));
+        local = Math.max(0, local - (tokens - fromDrawn));
     }
 
     /** Returns credit to the local bucket. */
     void refund(double tokens) {
-        double room = Math.max(0, localCap() - local);
-        double accepted = entries == 0 ? 0 : Math.min(tokens, room);
+        double accepted = Math.min(tokens, Math.max(0, localCap() - local));
         local += accepted;
         lost += tokens - accepted;
     }
 
+    /** Records a request that was admitted or rejected. */
     void recordDemand(double tokens, long nowMillis) {
         decayDemand(nowMillis);
         demandPerMilli += tokens / DEMAND_MILLIS;
-        meanCost += 0.1 * (tokens - meanCost);
+        meanCost += COST_WEIGHT * (tokens - meanCost);
     }
 
     private void decayDemand(long nowMillis) {
@@ -146,153 +148,103 @@
         demandMillis += elapsedMillis;
     }
 
-    // ---- draws of this entry
-
-    Optional<Draw> drawInFlight() {
-        return drawInFlight;
-    }
-
-    void beginDraw(Draw draw) {
-        drawInFlight = Optional.of(draw);
-    }
-
-    void endDraw() {
-        drawInFlight = Optional.empty();
-    }
-
-    /** Returns what to ask the home for beyond what is needed, while it has plenty. */
-    double wanted(double needed, long nowMillis) {
-        decayDemand(nowMillis);
-        double expected = demandPerMilli * limits.drawnMillis() * PREFETCH_FRACTION;
-        double room = entries == 0 ? 0 : localCap() - local - drawn.total();
-        return Math.max(needed, Math.min(needed + expected, room));
+    /** Returns the time until own credit covers an amount; empty if it never does. */
+    OptionalLong accrualMillis(double tokens) {
+        if (entries == 0 || tokens > localCap()) {
+            return OptionalLong.empty();
+        }
+        double missing = Math.max(0, tokens - own());
+        return OptionalLong.of((long) Math.ceil(missing / limits.localRate(entries)));
     }
 
-    /** Adds credit that the home gave. */
-    void addDrawn(double tokens, long sinceMillis, long nowMillis) {
-        drawn.add(tokens, sinceMillis, limits.drawnMillis());
-        lost += drawn.expire(limits.drawnMillis(), nowMillis);
+    /** Returns the pool; empty if this entry has not served draws. */
+    Optional<CreditPool> pool() {
+        return pool;
     }
 
-    /** Remembers that the home has no credit for a while. */
-    void refuseDraws(double neededTokens, long untilMillis) {
-        refusedTokens = neededTokens;
-        refusedUntilMillis = untilMillis;
+    /** Returns the pool, which is created if this entry has none. */
+    CreditPool poolForUse(long nowMillis) {
+        if (pool.isEmpty()) {
+            pool = Optional.of(new CreditPool(limits, nowMillis));
+        }
+        return pool.get();
     }
 
-    /** Returns the time until a draw may succeed, 0 if it may now. */
-    long refusedMillis(double neededTokens, long nowMillis) {
-        // A much smaller request may have better luck than the one that was refused.
-        return neededTokens < refusedTokens / 2 ? 0 : Math.max(0, refusedUntilMillis - nowMillis);
+    /** Removes the pool. */
+    void dropPool() {
+        pool = Optional.empty();
     }
 
-    /** Returns the time until the local bucket covers an amount; empty if it never does. */
-    Optional<Long> accrualMillis(double tokens) {
-        if (entries == 0 || tokens > localCap()) {
-            return Optional.empty();
+    /**
+     * Removes and returns local credit for a home. Everything goes to the home that can still be of
+     * use there: credit that each entry keeps for its own demand is missing where requests come
+     * next, which cost up to a quarter of the traffic at the limit in simulations. Only a request
+     * that waits for a draw keeps what it has.
+     */
+    double giveUp() {
+        if (entries == 0 || drawInFlight.isPresent()) {
+            return 0;
         }
-        return Optional.of(
-                (long) Math.ceil(Math.max(0, tokens - local) / limits.localRate(entries)));
+        double given = Math.min(local, limits.giveTokens(entries));
+        local -= given;
+        return given;
     }
 
-    // ---- draws of other entries
+    Optional<Draw> drawInFlight() {
+        return drawInFlight;
+    }
 
     /**
-     * Takes credit from the pool.
+     * Begins a draw for a request.
      *
-     * @return what was needed or up to what was wanted; 0 if there is not enough
+     * @param home the entry to ask
+     * @param tenant the name of the tenant
+     * @param tokens the cost of the request, which own credit does not cover
+     * @param allTokens the cost of all waiting requests
+     * @param nowMillis the current time
+     * @return the draw, which also asks for credit for other waiting or expected requests, as far
+     *     as there is room for it
      */
-    double takeFromPool(double needed, double wanted, long nowMillis) {
-        isPoolUsed = true;
-        poolUsedMillis = nowMillis;
-        double balance = poolBalance();
-        double g = Double.parseDouble(System.getProperty("g", "0"));
-        double pre = Double.parseDouble(System.getProperty("pre", "0"));
-        if (gate < 0) {
-            gate = limits.burstTokens();
-        }
-        double rate =
-                Boolean.getBoolean("gr") && roundTokens > 0
-                        ? roundTokens / 500
-                        : limits.tokensPerMilli();
-        gate = Math.min(limits.burstTokens(), gate + g * rate * (nowMillis - gateMillis));
-        gateMillis = nowMillis;
-        if (balance >= needed && (g == 0 || gate >= needed)) {
-            double plenty =
-                    Math.max(
-                            0,
-                            Math.max(
-                                    balance - needed - limits.lowPoolTokens(),
-                                    pre * (balance - needed)));
-            if (g > 0) plenty = Math.min(plenty, gate - needed);
-            double t = pool.take(needed + Math.min(Math.max(0, wanted - needed), plenty));
-            gate -= t;
-            return t;
-        }
-        if (needed > limits.burstTokens()
-                && balance >= Math.min(limits.lowPoolTokens(), needed)
-                && needed - balance <= limits.maximumDebtTokens()) {
-            // No pool may ever cover this request, as it is larger than the burst.
-            debt += needed - pool.take(pool.total());
-            return needed;
-        }
-        isDemandUnmet = true;
-        return 0;
-    }
-
-    /** Returns whether credit should be collected for the pool. */
-    boolean isPoolLow(long activeMillis, long nowMillis) {
-        return isPoolUsed
-                && nowMillis - poolUsedMillis < activeMillis
-                && (isDemandUnmet || poolBalance() < limits.lowPoolTokens());
+    Draw beginDraw(String home, String tenant, double tokens, double allTokens, long nowMillis) {
+        decayDemand(nowMillis);
+        double needed = tokens - own();
+        double more = Math.max(allTokens - tokens, inAdvance(nowMillis));
+        double room = entries == 0 ? 0 : localRoom();
+        double wanted = Math.max(needed, Math.min(needed + more, room));
+        Draw draw = new Draw(home, tenant, needed, wanted, nowMillis);
+        drawInFlight = Optional.of(draw);
+        return draw;
     }
 
-    /** Begins a round of collections with this entry's own surplus. */
-    void beginRound(long nowMillis) {
-        roundTokens = roundTokens == 0 ? collectedTokens : (roundTokens + collectedTokens) / 2;
-        collectedTokens = 0;
-        isDemandUnmet = false;
-        moveSurplusToPool(nowMillis);
+    private double inAdvance(long nowMillis) {
+        boolean isScarce = nowMillis - refusedUntilMillis < SCARCE_MILLIS;
+        double expected = demandPerMilli * limits.drawnMillis() * PREFETCH_FRACTION;
+        return isScarce || expected < MINIMUM_PREFETCH_REQUESTS * meanCost ? 0 : expected;
     }
 
-    /** Returns what a round of collections brings, in tokens; 0 if unknown. */
-    double roundTokens() {
-        return roundTokens;
+    void endDraw() {
+        drawInFlight = Optional.empty();
     }
 
-    /** Adds credit that a peer gave up; debt is paid first. */
-    double addToPool(double tokens, long sinceMillis, long nowMillis) {
-        double paid = Math.min(debt, tokens);
-        debt -= paid;
-        double room = Math.max(0, limits.poolCapTokens() - pool.total());
-        double accepted = Math.min(tokens - paid, room);
-        pool.add(accepted, sinceMillis, limits.poolMillis());
-        lost += tokens - paid - accepted + pool.expire(limits.poolMillis(), nowMillis);
-        collectedTokens += tokens;
-        return accepted;
+    /** Adds credit that the home gave. */
+    void addDrawn(double tokens, long sinceMillis, long nowMillis) {
+        if (nowMillis - sinceMillis >= limits.drawnMillis()) {
+            lost += tokens;
+        } else {
+            drawn.add(tokens, sinceMillis, limits.drawnMillis());
+        }
     }
 
-    /** Removes and returns the local credit that this entry does not need soon. */
-    double giveUp(long nowMillis) {
-        if (entries == 0 || drawInFlight.isPresent()) {
-            return 0;
-        }
-        decayDemand(nowMillis);
-        // Credit that cannot cover a request by itself is of more use in the pool.
-        double kept =
-                meanCost <= localCap()
-                        ? Math.min(
-                                localCap() * Double.parseDouble(System.getProperty("kc", "0")),
-                                demandPerMilli
-                                        * Double.parseDouble(System.getProperty("kh", "500")))
-                        : 0;
-        double given = Math.min(Math.max(0, local - kept), limits.giveTokens(entries));
-        local -= given;
-        return given;
+    /** Records that the home has no credit for a while. */
+    void refuseDraws(double neededTokens, long untilMillis) {
+        refusedTokens = neededTokens;
+        refusedUntilMillis = untilMillis;
     }
 
-    /** Moves the local credit that this entry does not need soon to its own pool. */
-    void moveSurplusToPool(long nowMillis) {
-        addToPool(giveUp(nowMillis), nowMillis, nowMillis);
+    /** Returns the time until a draw may succeed, 0 if it may now. */
+    long refusedMillis(double neededTokens, long nowMillis) {
+        return neededTokens < refusedTokens * SMALLER_DRAW
+                ? 0
+                : Math.max(0, refusedUntilMillis - nowMillis);
     }
 }
