--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
@@ -134,7 +134,8 @@
      * @param cacheSource the location of the prompt's KV cache, as IP:PORT/HANDLE
      * @param resumeAfter the id of the last event that the caller has received; the stream
      *     continues after it
-     * @param identity what the server learns of the caller; empty if the deployment has no tenants
+     * @param identity what the server learns of the caller; empty if the deployment has no
+     *     workspaces
      */
     record AttemptOptions(
             String serverId,
@@ -148,11 +149,11 @@
     /**
      * What a server learns of the caller in place of the caller's key.
      *
-     * @param tenant the name of the caller's tenant, empty for a caller without a valid key
+     * @param workspace the name of the caller's workspace, empty for a caller without a valid key
      * @param urgency the rank of the request among all; 0 is the most urgent
      * @param urgent whether requests of other ranks are less urgent
      */
-    record CallerIdentity(Optional<String> tenant, int urgency, boolean urgent) {}
+    record CallerIdentity(Optional<String> workspace, int urgency, boolean urgent) {}
 
     /**
      * The head of a response.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
@@ -4,7 +4,7 @@
 import dev.foxtailshed.kernel.direct.DirectRoute;
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
-import dev.foxtailshed.kernel.direct.tenant.Tenant;
+import dev.foxtailshed.kernel.direct.workspace.Workspace;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -20,8 +20,8 @@
  * @param attributes the metadata from the caller's headers
  * @param route the route that matched when the head arrived
  * @param service the service that runs the request
- * @param tenant the caller's tenant, if it has a valid key
- * @param identity what servers learn of the caller; empty if the deployment has no tenants
+ * @param workspace the caller's workspace, if it has a valid key
+ * @param identity what servers learn of the caller; empty if the deployment has no workspaces
  * @param routesVersion the version of the routing configuration that has the route
  * @param arrivedMillis when the head arrived, on the timer's clock
  * @param deadlineMillis when the final response must have been sent, on the timer's clock
@@ -36,23 +36,25 @@
         RequestAttributes attributes,
         DirectRoute route,
         DirectService service,
-        Optional<Tenant> tenant,
+        Optional<Workspace> workspace,
         Optional<CallerIdentity> identity,
         long routesVersion,
         long arrivedMillis,
         long deadlineMillis) {
 
-    /** Returns what the request costs of its tenant's quota. */
+    /** Returns what the request costs of its workspace's quota. */
     double cost() {
-        return tenant.map(t -> t.cost(attributes.tokenCounts())).orElse(0.0);
+        return workspace.map(t -> t.cost(attributes.tokenCounts())).orElse(0.0);
     }
 
-    /** Returns whether other requests of the deployment are less urgent; false without tenants. */
+    /**
+     * Returns whether other requests of the deployment are less urgent; false without workspaces.
+     */
     boolean isUrgent() {
         return identity.map(CallerIdentity::urgent).orElse(false);
     }
 
-    /** Returns the priority: the rank among tenants and routes, or that of the route alone. */
+    /** Returns the priority: the rank among workspaces and routes, or that of the route alone. */
     int priority() {
         return identity.map(CallerIdentity::urgency).orElse(route.priority());
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CreditExchange.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CreditExchange.java
@@ -31,7 +31,7 @@
 import org.eclipse.jetty.util.Callback;
 
 /**
- * Transfers tenants' credit between entries: sends draws and collections, and answers those of
+ * Transfers workspaces' credit between entries: sends draws and collections, and answers those of
  * other entries.
  *
  * <p>Each message is sent once, since a repetition would transfer the credit twice; the credit of a
@@ -46,7 +46,7 @@
     /** Timeout of a call; the requests that wait for its credit wait no longer either. */
     private static final long TIMEOUT_MILLIS = 500;
 
-    /** The names and amounts of thousands of tenants. */
+    /** The names and amounts of thousands of workspaces. */
     private static final int MAXIMUM_BYTES = 1 << 20;
 
     private final HttpClient httpClient;
@@ -59,7 +59,7 @@
         DrawReply onDraw(DrawRequest request);
 
         /** Gives local credit, which is subtracted before this returns. */
-        Map<String, Double> onCollect(List<String> tenants);
+        Map<String, Double> onCollect(List<String> workspaces);
     }
 
     CreditExchange(HttpClient httpClient, Executor executor, Account account) {
@@ -72,13 +72,14 @@
     void send(Draw draw, Consumer<Optional<DrawReply>> next) {
         byte[] body =
                 CreditMessages.encode(
-                        new DrawRequest(draw.tenant(), draw.neededTokens(), draw.wantedTokens()));
+                        new DrawRequest(
+                                draw.workspace(), draw.neededTokens(), draw.wantedTokens()));
         send(draw.home(), DRAW_PATH, body, CreditMessages::decodeDrawReply, next);
     }
 
     /** Sends a collection; the reply is empty if it was lost. Replies arrive on the executor. */
     void send(Collect collect, Consumer<Optional<Map<String, Double>>> next) {
-        byte[] body = CreditMessages.encode(collect.tenants());
+        byte[] body = CreditMessages.encode(collect.workspaces());
         send(collect.peer(), COLLECT_PATH, body, CreditMessages::decodeTokens, next);
     }
 
@@ -174,7 +175,7 @@
     }
 
     private byte[] answerCollect(byte[] body) {
-        return CreditMessages.encode(account.onCollect(CreditMessages.decodeTenants(body)));
+        return CreditMessages.encode(account.onCollect(CreditMessages.decodeWorkspaces(body)));
     }
 
     private static void respond(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CreditMessages.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CreditMessages.java
@@ -19,11 +19,11 @@
     /**
      * A draw as it is sent.
      *
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param neededTokens less than that is of no use
      * @param wantedTokens the most that the entry takes
      */
-    record DrawRequest(String tenant, double neededTokens, double wantedTokens) {}
+    record DrawRequest(String workspace, double neededTokens, double wantedTokens) {}
 
     /** Writes one message. */
     private interface Writer {
@@ -38,7 +38,7 @@
     static byte[] encode(DrawRequest request) {
         return pack(
                 packer -> {
-                    packer.packString(request.tenant());
+                    packer.packString(request.workspace());
                     packer.packDouble(request.neededTokens());
                     packer.packDouble(request.wantedTokens());
                 });
@@ -67,26 +67,26 @@
                 bytes, unpacker -> new DrawReply(unpacker.unpackDouble(), unpacker.unpackLong()));
     }
 
-    static byte[] encode(List<String> tenants) {
+    static byte[] encode(List<String> workspaces) {
         return pack(
                 packer -> {
-                    packer.packArrayHeader(tenants.size());
-                    for (String tenant : tenants) {
-                        packer.packString(tenant);
+                    packer.packArrayHeader(workspaces.size());
+                    for (String workspace : workspaces) {
+                        packer.packString(workspace);
                     }
                 });
     }
 
-    static List<String> decodeTenants(byte[] bytes) {
+    static List<String> decodeWorkspaces(byte[] bytes) {
         return unpack(
                 bytes,
                 unpacker -> {
-                    List<String> tenants = new ArrayList<>();
+                    List<String> workspaces = new ArrayList<>();
                     int count = unpacker.unpackArrayHeader();
                     for (int i = 0; i < count; i++) {
-                        tenants.add(unpacker.unpackString());
+                        workspaces.add(unpacker.unpackString());
                     }
-                    return tenants;
+                    return workspaces;
                 });
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -34,9 +34,9 @@
     private static final int MAXIMUM_CALLS_IN_FLIGHT = 4;
 
     /**
-     * Time without a reply after which another server is asked, where tenants compete. Replies take
-     * a few milliseconds; an entry may itself be paused for a tenth of a second by its share of the
-     * processor.
+     * Time without a reply after which another server is asked, where workspaces compete. Replies
+     * take a few milliseconds; an entry may itself be paused for a tenth of a second by its share
+     * of the processor.
      */
     private static final long STALL_MILLIS = 150;
 
@@ -272,7 +272,7 @@
         callsInFlight++;
         serverSelector.recordReservationRequest(server);
         PendingCall call = new PendingCall(waiter, server);
-        if (waiter.item().competesWithTenants()) {
+        if (waiter.item().competesWithWorkspaces()) {
             call.stallTimer = Optional.of(context.schedule(STALL_MILLIS, () -> abandon(call)));
         }
         if (!supportsReservations()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -131,14 +131,14 @@
                 Field.of("version", read.get().version()),
                 Field.of("position", entry.position()),
                 Field.of("routes", read.get().routes().size()));
-        read.get().tenants().ifPresent(tenants -> logProblems(entry, tenants.problems()));
+        read.get().workspaces().ifPresent(workspaces -> logProblems(entry, workspaces.problems()));
         subscribers.forEach(Runnable::run);
     }
 
     private static void logProblems(StoreEntry entry, List<String> problems) {
         for (String problem : problems) {
             EventLog.log(
-                    EventCode.TENANTS_UNREADABLE,
+                    EventCode.WORKSPACES_UNREADABLE,
                     Field.of("entry", entry.name()),
                     Field.of("position", entry.position()),
                     Field.of("cause", problem));
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
@@ -23,7 +23,7 @@
  * @param health the health of the backend servers
  * @param rateLimits the request rates that backend servers named
  * @param retryBudgets the retry budgets by service
- * @param quotas the quotas of the tenants
+ * @param quotas the quotas of the workspaces
  * @param requestBuffers the memory for bodies of requests
  * @param responseBuffers the memory for parts of responses
  * @param recorder the metrics and log events of requests
@@ -38,7 +38,7 @@
         ServerHealthRegistry health,
         ServerRateLimits rateLimits,
         WindowedRetryBudgets retryBudgets,
-        TenantQuotas quotas,
+        WorkspaceQuotas quotas,
         BufferBudget requestBuffers,
         BufferBudget responseBuffers,
         DirectRequestRecorder recorder,
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -15,8 +15,8 @@
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
 import dev.foxtailshed.kernel.direct.RouteTable;
-import dev.foxtailshed.kernel.direct.tenant.Tenant;
-import dev.foxtailshed.kernel.direct.tenant.UrgencyRanks;
+import dev.foxtailshed.kernel.direct.workspace.UrgencyRanks;
+import dev.foxtailshed.kernel.direct.workspace.Workspace;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
@@ -81,17 +81,20 @@
             refuse(pending, ErrorCode.NOT_FOUND, "no route matches " + where);
             return true;
         }
-        Optional<Tenant> tenant =
+        Optional<Workspace> workspace =
                 routes.get()
-                        .tenants()
-                        .flatMap(tenants -> attributes.apiKey().flatMap(tenants::find));
-        if (tenant.isEmpty() && routes.get().tenants().isPresent() && !route.get().isPublic()) {
+                        .workspaces()
+                        .flatMap(workspaces -> attributes.apiKey().flatMap(workspaces::find));
+        if (workspace.isEmpty()
+                && routes.get().workspaces().isPresent()
+                && !route.get().isPublic()) {
             refuseUnauthorized(pending, attributes);
             return true;
         }
         readBody(
                 pending,
-                new MatchedRequest(attributes, routes.get(), route.get(), tenant, arrivedMillis));
+                new MatchedRequest(
+                        attributes, routes.get(), route.get(), workspace, arrivedMillis));
         return true;
     }
 
@@ -100,7 +103,7 @@
             RequestAttributes attributes,
             RouteTable routes,
             DirectRoute route,
-            Optional<Tenant> tenant,
+            Optional<Workspace> workspace,
             long arrivedMillis) {
 
         /** Returns what servers learn of the caller. */
@@ -111,9 +114,9 @@
         private CallerIdentity identity(UrgencyRanks ranks) {
             int rank =
                     ranks.rank(
-                            tenant.map(Tenant::priority).orElse(OptionalInt.empty()),
+                            workspace.map(Workspace::priority).orElse(OptionalInt.empty()),
                             route.priority());
-            return new CallerIdentity(tenant.map(Tenant::name), rank, ranks.isUrgent(rank));
+            return new CallerIdentity(workspace.map(Workspace::name), rank, ranks.isUrgent(rank));
         }
 
         long deadlineMillis() {
@@ -217,7 +220,7 @@
                         matched.attributes(),
                         matched.route(),
                         service,
-                        matched.tenant(),
+                        matched.workspace(),
                         matched.identity(),
                         matched.routes().version(),
                         matched.arrivedMillis(),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -113,7 +113,7 @@
             new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
     private final CrashGuard crashGuard;
     private final CrashNotices crashNotices;
-    private final TenantQuotas quotas;
+    private final WorkspaceQuotas quotas;
     private final EntryMembership membership;
     private final DirectFlowFactory flows;
     private final StageCoordinator coordinator;
@@ -127,30 +127,8 @@
                         httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
         PeerExchange peers = new PeerExchange(httpClient, this::peerAddresses, random);
         view = new DeploymentView(platform, store, timer, loop, random, peers);
-        String self = SettingParsers.text(initialSettings.controlAddress());
-        quotas =
-                new TenantQuotas(
-                        timer,
-                        loop,
-                        httpClient,
-                        self,
-                        () -> quotaConfiguration(self),
-                        new QuotaRecorder(registry, timer));
-        DirectContext context =
-                new DirectContext(
-                        platform,
-                        view,
-                        loop,
-                        timer,
-                        httpClient,
-                        new ServerHealthRegistry(),
-                        rateLimits,
-                        new WindowedRetryBudgets(name -> newRetryBudget()),
-                        quotas,
-                        requestBuffers,
-                        responseBuffers,
-                        new DirectRequestRecorder(registry, timer, view::servers),
-                        random);
+        quotas = newQuotas(SettingParsers.text(initialSettings.controlAddress()));
+        DirectContext context = newContext(platform);
         EngineControlClient controlClient = new EngineControlClient(context);
         crashNotices = newCrashNotices();
         crashGuard =
@@ -266,7 +244,34 @@
         return List.copyOf(all);
     }
 
-    private TenantQuotas.Configuration quotaConfiguration(String self) {
+    private WorkspaceQuotas newQuotas(String self) {
+        return new WorkspaceQuotas(
+                timer,
+                loop,
+                httpClient,
+                self,
+                () -> quotaConfiguration(self),
+                new QuotaRecorder(registry, timer));
+    }
+
+    private DirectContext newContext(HostingPlatform platform) {
+        return new DirectContext(
+                platform,
+                view,
+                loop,
+                timer,
+                httpClient,
+                new ServerHealthRegistry(),
+                rateLimits,
+                new WindowedRetryBudgets(name -> newRetryBudget()),
+                quotas,
+                requestBuffers,
+                responseBuffers,
+                new DirectRequestRecorder(registry, timer, view::servers),
+                random);
+    }
+
+    private WorkspaceQuotas.Configuration quotaConfiguration(String self) {
         Optional<Integer> count = membership.count();
         List<String> members =
                 Stream.concat(
@@ -274,7 +279,7 @@
                                 membership.otherAddresses().stream().map(SettingParsers::text))
                         .sorted()
                         .toList();
-        return new TenantQuotas.Configuration(
+        return new WorkspaceQuotas.Configuration(
                 view.routes(),
                 settings.get().quotaBounds(),
                 count.map(OptionalInt::of).orElse(OptionalInt.empty()),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -14,7 +14,7 @@
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
-import dev.foxtailshed.kernel.direct.tenant.Tenant;
+import dev.foxtailshed.kernel.direct.workspace.Workspace;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -55,7 +55,7 @@
     private int attempts;
     private boolean finished;
     private Optional<Subscription> deadlineTimer = Optional.empty();
-    private Optional<TenantQuotas.Waiter> creditWaiter = Optional.empty();
+    private Optional<WorkspaceQuotas.Waiter> creditWaiter = Optional.empty();
     private boolean charged;
 
     /**
@@ -85,18 +85,18 @@
         long delayMillis = remainingMillis() - RESPONSE_MARGIN_MILLIS;
         deadlineTimer = Optional.of(context.schedule(delayMillis, this::onDeadline));
         retryBudget().recordRequest(context.timer().nowMillis());
-        if (request.tenant().isPresent()) {
-            awaitCredit(request.tenant().get());
+        if (request.workspace().isPresent()) {
+            awaitCredit(request.workspace().get());
         } else {
             begin();
         }
     }
 
-    private void awaitCredit(Tenant tenant) {
+    private void awaitCredit(Workspace workspace) {
         creditWaiter =
                 context.quotas()
                         .admit(
-                                tenant,
+                                workspace,
                                 request.cost(),
                                 request.route().targetLatencyMillis(),
                                 remainingMillis(),
@@ -120,7 +120,7 @@
                         Math.max(0, remainingMillis()) / RETRY_TIME_DIVISOR);
         fail(
                 RequestFailure.notRun(
-                                ErrorCode.QUOTA_EXCEEDED, "the limit of the tenant is reached")
+                                ErrorCode.QUOTA_EXCEEDED, "the limit of the workspace is reached")
                         .retryAfter(retryAfterMillis));
     }
 
@@ -389,9 +389,10 @@
     private void close() {
         finished = true;
         deadlineTimer.ifPresent(Subscription::cancel);
-        creditWaiter.ifPresent(TenantQuotas.Waiter::cancel);
+        creditWaiter.ifPresent(WorkspaceQuotas.Waiter::cancel);
         if (charged && !hasReachedServer()) {
-            request.tenant().ifPresent(tenant -> context.quotas().refund(tenant, request.cost()));
+            request.workspace()
+                    .ifPresent(workspace -> context.quotas().refund(workspace, request.cost()));
         }
         cancelWork();
     }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -12,7 +12,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerRateLimits;
-import dev.foxtailshed.kernel.direct.tenant.ApiKey;
+import dev.foxtailshed.kernel.direct.workspace.ApiKey;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -225,7 +225,7 @@
                 Field.of("retryAfterMillis", failure.retryAfterMillis().orElse(-1)));
     }
 
-    /** Records that a caller has sent no key, or none that a tenant has. */
+    /** Records that a caller has sent no key, or none that a workspace has. */
     void recordUnknownKey(Optional<String> id, Optional<ApiKey> key) {
         registry.counter("keys.unknown").inc();
         EventLog.log(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectSettings.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectSettings.java
@@ -29,7 +29,7 @@
  * @param retryReserve the retries to a service allowed in addition to the ratio, over all entries
  * @param retryWindowMillis the sliding window over which requests and retries are counted
  * @param leaseMillis the lease time of the lease for stage changes
- * @param quotaBounds how far the quotas of tenants may be exceeded
+ * @param quotaBounds how far the quotas of workspaces may be exceeded
  * @param graceMillis the time between SIGTERM and SIGKILL
  */
 record DirectSettings(
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -13,7 +13,7 @@
 import dev.foxtailshed.kernel.direct.FailureAction;
 import dev.foxtailshed.kernel.direct.PrefillServerSelector;
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
-import dev.foxtailshed.kernel.direct.tenant.Tenant;
+import dev.foxtailshed.kernel.direct.workspace.Workspace;
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Optional;
@@ -88,7 +88,7 @@
         boolean late = service.isLate(request, nowMillis);
         Claim claim =
                 new Claim(
-                        request.tenant().map(Tenant::name),
+                        request.workspace().map(Workspace::name),
                         request.priority(),
                         late,
                         service.giveUpAtMillis(request, late || resuming, nowMillis),
@@ -108,8 +108,8 @@
         return service.tokensToReserve(tokenCounts);
     }
 
-    /** Returns whether requests of several tenants compete for the same servers. */
-    boolean competesWithTenants() {
+    /** Returns whether requests of several workspaces compete for the same servers. */
+    boolean competesWithWorkspaces() {
         return request.identity().isPresent();
     }
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/QuotaRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/QuotaRecorder.java
@@ -10,22 +10,24 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/** Updates the metrics of tenants' quotas and logs which tenants are at their limit. */
+/** Updates the metrics of workspaces' quotas and logs which workspaces are at their limit. */
 final class QuotaRecorder {
 
-    /** Tenants with metrics of their own; the others share one set, to bound the metrics' size. */
-    private static final int MAXIMUM_TENANTS = 64;
+    /**
+     * Workspaces with metrics of their own; the others share one set, to bound the metrics' size.
+     */
+    private static final int MAXIMUM_WORKSPACES = 64;
 
     private static final String OTHERS = "others";
 
-    /** Period in which a tenant that stays at its limit is logged once. */
+    /** Period in which a workspace that stays at its limit is logged once. */
     private static final long LIMIT_PERIOD_MILLIS = 1_000;
 
     private final MetricRegistry registry;
     private final TimerService timer;
     private final Map<String, Period> periods = new HashMap<>();
 
-    /** The rejections of a tenant since it was last logged. */
+    /** The rejections of a workspace since it was last logged. */
     private static final class Period {
         private long startMillis = Long.MIN_VALUE / 2;
         private long rejected;
@@ -37,17 +39,17 @@
         this.timer = timer;
     }
 
-    void recordAdmission(String tenant, double tokens, long waitedMillis) {
-        String label = label(tenant);
+    void recordAdmission(String workspace, double tokens, long waitedMillis) {
+        String label = label(workspace);
         registry.counter("quota.admitted." + label).inc();
         registry.counter("quota.tokens." + label).inc((long) tokens);
         registry.timer("quota.waited." + label).update(waitedMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Records a request that was rejected; logs its tenant if it was not logged recently. */
-    void recordRejection(String tenant, double tokens, long creditAfterMillis) {
-        registry.counter("quota.rejected." + label(tenant)).inc();
-        Period period = periods.computeIfAbsent(label(tenant), key -> new Period());
+    /** Records a request that was rejected; logs its workspace if it was not logged recently. */
+    void recordRejection(String workspace, double tokens, long creditAfterMillis) {
+        registry.counter("quota.rejected." + label(workspace)).inc();
+        Period period = periods.computeIfAbsent(label(workspace), key -> new Period());
         period.rejected++;
         period.tokens += tokens;
         long nowMillis = timer.nowMillis();
@@ -55,8 +57,8 @@
             return;
         }
         EventLog.log(
-                EventCode.TENANT_AT_LIMIT,
-                Field.of("tenant", tenant),
+                EventCode.WORKSPACE_AT_LIMIT,
+                Field.of("workspace", workspace),
                 Field.of("rejected", period.rejected),
                 Field.of("rejectedTokens", (long) period.tokens),
                 Field.of("creditAfterMillis", creditAfterMillis));
@@ -65,8 +67,8 @@
         period.tokens = 0;
     }
 
-    void recordRefund(String tenant, double tokens) {
-        registry.counter("quota.refunded." + label(tenant)).inc((long) tokens);
+    void recordRefund(String workspace, double tokens) {
+        registry.counter("quota.refunded." + label(workspace)).inc((long) tokens);
     }
 
     /** Records the end of a draw; the tokens are empty if the draw or its reply was lost. */
@@ -79,15 +81,15 @@
         registry.counter("quota.collections." + (answered ? "answered" : "lost")).inc();
     }
 
-    /** Returns the name under which a tenant is counted. */
-    private String label(String tenant) {
-        if (periods.containsKey(tenant)) {
-            return tenant;
+    /** Returns the name under which a workspace is counted. */
+    private String label(String workspace) {
+        if (periods.containsKey(workspace)) {
+            return workspace;
         }
-        if (periods.size() >= MAXIMUM_TENANTS) {
+        if (periods.size() >= MAXIMUM_WORKSPACES) {
             return OTHERS;
         }
-        periods.put(tenant, new Period());
-        return tenant;
+        periods.put(workspace, new Period());
+        return workspace;
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/TenantQuotas.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/WorkspaceQuotas.java
@@ -11,7 +11,8 @@
 import dev.foxtailshed.kernel.direct.quota.QuotaAccounts;
 import dev.foxtailshed.kernel.direct.quota.QuotaBounds;
 import dev.foxtailshed.kernel.direct.quota.TokenQuota;
-import dev.foxtailshed.kernel.direct.tenant.Tenant;
+import dev.foxtailshed.kernel.direct.workspace.Workspace;
+import dev.foxtailshed.kernel.direct.workspace.WorkspaceTable;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -25,13 +26,13 @@
 import org.eclipse.jetty.client.HttpClient;
 
 /**
- * Admits requests within their tenants' quotas, and obtains credit from other entries for them.
+ * Admits requests within their workspaces' quotas, and obtains credit from other entries for them.
  *
- * <p>A request for which there is no credit waits in the order of arrival of its tenant's requests,
- * for a limited time; it is rejected at once if credit is not expected within that time. Other
- * tenants are not affected. Runs on the entry's loop.
+ * <p>A request for which there is no credit waits in the order of arrival of its workspace's
+ * requests, for a limited time; it is rejected at once if credit is not expected within that time.
+ * Other workspaces are not affected. Runs on the entry's loop.
  */
-final class TenantQuotas implements CreditExchange.Account {
+final class WorkspaceQuotas implements CreditExchange.Account {
 
     /** Period in which waiting requests are checked; a fraction of any latency objective. */
     private static final long TICK_MILLIS = 20;
@@ -72,7 +73,7 @@
     /**
      * What the quotas depend on.
      *
-     * @param routes the routes and tenants in force
+     * @param routes the routes and workspaces in force
      * @param bounds how far the quotas may be exceeded
      * @param entryCount the number of live entries, if it is known
      * @param members the control addresses of the live entries, with this one
@@ -83,22 +84,11 @@
             OptionalInt entryCount,
             List<String> members) {
 
-        /** Returns the quotas of the tenants that have one. */
+        /** Returns the quotas of the workspaces that have one. */
         Map<String, TokenQuota> quotas() {
-            Map<String, TokenQuota> quotas = new HashMap<>();
-            routes.flatMap(RouteTable::tenants)
-                    .ifPresent(
-                            tenants ->
-                                    tenants.byName()
-                                            .forEach(
-                                                    (name, tenant) ->
-                                                            tenant.quota()
-                                                                    .ifPresent(
-                                                                            quota ->
-                                                                                    quotas.put(
-                                                                                            name,
-                                                                                            quota))));
-            return quotas;
+            return routes.flatMap(RouteTable::workspaces)
+                    .map(WorkspaceTable::quotas)
+                    .orElse(Map.of());
         }
 
         /** Returns whether another configuration has the same routes, bounds and members. */
@@ -112,7 +102,7 @@
 
     /** A request that waits for credit. */
     final class Waiter {
-        private final String tenant;
+        private final String workspace;
         private final double tokens;
         private final long arrivedMillis;
         private final long expiryMillis;
@@ -120,12 +110,12 @@
         private final LongConsumer rejected;
 
         private Waiter(
-                Tenant tenant,
+                Workspace workspace,
                 double tokens,
                 long waitMillis,
                 Runnable admitted,
                 LongConsumer rejected) {
-            this.tenant = tenant.name();
+            this.workspace = workspace.name();
             this.tokens = tokens;
             this.arrivedMillis = timer.nowMillis();
             this.expiryMillis = arrivedMillis + waitMillis;
@@ -135,14 +125,14 @@
 
         /** Stops waiting, without a call back. */
         void cancel() {
-            Deque<Waiter> queue = waiters.get(tenant);
+            Deque<Waiter> queue = waiters.get(workspace);
             if (queue != null) {
                 queue.remove(this);
             }
         }
     }
 
-    TenantQuotas(
+    WorkspaceQuotas(
             TimerService timer,
             SerialExecutor loop,
             HttpClient httpClient,
@@ -181,9 +171,9 @@
     }
 
     /**
-     * Admits a request as soon as its tenant has credit for it, possibly before this returns.
+     * Admits a request as soon as its workspace has credit for it, possibly before this returns.
      *
-     * @param tenant the tenant
+     * @param workspace the workspace
      * @param tokens the request's cost
      * @param objectiveMillis the latency objective of the request
      * @param remainingMillis the time until its deadline
@@ -192,17 +182,17 @@
      * @return the waiting request, if it waits
      */
     Optional<Waiter> admit(
-            Tenant tenant,
+            Workspace workspace,
             double tokens,
             long objectiveMillis,
             long remainingMillis,
             Runnable admitted,
             LongConsumer rejected) {
         long waitMillis = waitMillis(objectiveMillis, remainingMillis);
-        Waiter waiter = new Waiter(tenant, tokens, waitMillis, admitted, rejected);
-        Deque<Waiter> queue = waiters.computeIfAbsent(tenant.name(), name -> new ArrayDeque<>());
+        Waiter waiter = new Waiter(workspace, tokens, waitMillis, admitted, rejected);
+        Deque<Waiter> queue = waiters.computeIfAbsent(workspace.name(), name -> new ArrayDeque<>());
         queue.add(waiter);
-        process(tenant.name());
+        process(workspace.name());
         return queue.contains(waiter) ? Optional.of(waiter) : Optional.empty();
     }
 
@@ -216,36 +206,36 @@
     }
 
     /** Returns the cost of a request that has not reached a server. */
-    void refund(Tenant tenant, double tokens) {
-        accounts.refund(tenant.name(), tokens, timer.nowMillis());
-        recorder.recordRefund(tenant.name(), tokens);
+    void refund(Workspace workspace, double tokens) {
+        accounts.refund(workspace.name(), tokens, timer.nowMillis());
+        recorder.recordRefund(workspace.name(), tokens);
     }
 
     /**
-     * Decides on the waiting requests of a tenant, in order of arrival. A request that costs no
+     * Decides on the waiting requests of a workspace, in order of arrival. A request that costs no
      * more than what is there does not wait behind a larger one, whose credit has to be drawn.
      */
-    private void process(String tenant) {
-        for (Waiter waiter : List.copyOf(waiters.getOrDefault(tenant, NONE))) {
-            Deque<Waiter> queue = waiters.get(tenant);
+    private void process(String workspace) {
+        for (Waiter waiter : List.copyOf(waiters.getOrDefault(workspace, NONE))) {
+            Deque<Waiter> queue = waiters.get(workspace);
             // A request that was admitted or rejected may have cancelled others.
             if (queue != null && queue.contains(waiter)) {
                 decide(waiter, queue);
             }
         }
-        if (waiters.getOrDefault(tenant, NONE).isEmpty()) {
-            waiters.remove(tenant);
+        if (waiters.getOrDefault(workspace, NONE).isEmpty()) {
+            waiters.remove(workspace);
         }
     }
 
     private void decide(Waiter waiter, Deque<Waiter> queue) {
         long nowMillis = timer.nowMillis();
-        Decision decision = accounts.spend(waiter.tenant, waiter.tokens, nowMillis);
+        Decision decision = accounts.spend(waiter.workspace, waiter.tokens, nowMillis);
         switch (decision.outcome()) {
             case ADMITTED -> {
                 queue.remove(waiter);
                 recorder.recordAdmission(
-                        waiter.tenant, waiter.tokens, nowMillis - waiter.arrivedMillis);
+                        waiter.workspace, waiter.tokens, nowMillis - waiter.arrivedMillis);
                 waiter.admitted.run();
             }
             case DRAW -> {
@@ -269,12 +259,12 @@
 
     private void reject(Waiter waiter, Deque<Waiter> queue, long creditAfterMillis) {
         queue.remove(waiter);
-        recorder.recordRejection(waiter.tenant, waiter.tokens, creditAfterMillis);
+        recorder.recordRejection(waiter.workspace, waiter.tokens, creditAfterMillis);
         waiter.rejected.accept(creditAfterMillis);
     }
 
     private void draw(Waiter waiter, long nowMillis) {
-        Optional<Draw> draw = accounts.nextDraw(waiter.tenant, waiter.tokens, nowMillis);
+        Optional<Draw> draw = accounts.nextDraw(waiter.workspace, waiter.tokens, nowMillis);
         draw.ifPresent(sent -> exchange.send(sent, reply -> onDrawReply(sent, reply)));
     }
 
@@ -286,7 +276,7 @@
         } else {
             accounts.onDrawLost(draw, nowMillis);
         }
-        process(draw.tenant());
+        process(draw.workspace());
     }
 
     private void onCollectReply(Collect collect, Optional<Map<String, Double>> reply) {
@@ -297,7 +287,7 @@
         } else {
             accounts.onCollectLost(collect, nowMillis);
         }
-        collect.tenants().forEach(this::process);
+        collect.workspaces().forEach(this::process);
     }
 
     private void collect() {
@@ -316,7 +306,7 @@
     public DrawReply onDraw(DrawRequest request) {
         DrawReply reply =
                 accounts.onDraw(
-                        request.tenant(),
+                        request.workspace(),
                         request.neededTokens(),
                         request.wantedTokens(),
                         timer.nowMillis());
@@ -327,7 +317,7 @@
     }
 
     @Override
-    public Map<String, Double> onCollect(List<String> tenants) {
-        return accounts.onCollect(tenants, timer.nowMillis());
+    public Map<String, Double> onCollect(List<String> workspaces) {
+        return accounts.onCollect(workspaces, timer.nowMillis());
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -42,8 +42,8 @@
             2303, Level.INFO, "Data was read from another entry since the store is unavailable."),
     PEER_UNREADABLE(
             2304, Level.WARN, "The response of another entry cannot be read and is ignored."),
-    TENANTS_UNREADABLE(
-            2305, Level.WARN, "A part of the tenants cannot be used; the others are in force."),
+    WORKSPACES_UNREADABLE(
+            2305, Level.WARN, "A part of the workspaces cannot be used; the others are in force."),
     ROUTES_APPLIED(2101, Level.INFO, "A newer routing configuration is in force at this entry."),
     ROUTES_UNREADABLE(
             2102, Level.ERROR, "A routing configuration cannot be read; the previous one stays."),
@@ -113,9 +113,9 @@
     API_KEY_UNKNOWN(
             5016,
             Level.INFO,
-            "A request was refused, since no tenant has the key that it carries."),
-    TENANT_AT_LIMIT(
-            5017, Level.INFO, "Requests of a tenant were rejected, since it has no credit."),
+            "A request was refused, since no workspace has the key that it carries."),
+    WORKSPACE_AT_LIMIT(
+            5017, Level.INFO, "Requests of a workspace were rejected, since it has no credit."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
--- a/kernel/src/main/java/dev/foxtailshed/kernel/ErrorCode.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/ErrorCode.java
@@ -18,7 +18,7 @@
     TOO_LARGE("too_large", 413),
     /** The request cannot meet its target, or all queues are full. */
     OVERLOADED("overloaded", 429),
-    /** The caller's tenant has no credit left. */
+    /** The caller's workspace has no credit left. */
     QUOTA_EXCEEDED("quota_exceeded", 429),
     /** The request crashed the backend servers that ran it. */
     SUSPECT_REFUSED("suspect_refused", 422),
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/AdmissionQueue.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/AdmissionQueue.java
@@ -1,7 +1,7 @@
 package dev.foxtailshed.kernel.direct;
 
-import dev.foxtailshed.kernel.direct.TenantShares.Charge;
-import dev.foxtailshed.kernel.direct.TenantShares.Flow;
+import dev.foxtailshed.kernel.direct.WorkspaceShares.Charge;
+import dev.foxtailshed.kernel.direct.WorkspaceShares.Flow;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -16,15 +16,16 @@
  * late requests follow. A request is rejected on arrival if serving the queue ahead of it takes
  * longer than it can wait, and removed from the queue as soon as its wait limit passes.
  *
- * <p>Where requests have tenants, a burst of one of them must not displace the others. Inside a
- * priority, tenants then share capacity equally, in tokens, however many requests they send and
- * however soon they return after a rejection; see {@link TenantShares}. The requests of a tenant
- * that sends more than its share are last, wait longest, and are rejected as soon as requests that
- * come before them leave no time. A tenant or priority that is served much more rarely than all
- * requests are gets a turn: its first request comes before the others that are in time.
+ * <p>Where requests have workspaces, a burst of one of them must not displace the others. Inside a
+ * priority, workspaces then share capacity equally, in tokens, however many requests they send and
+ * however soon they return after a rejection; see {@link WorkspaceShares}. The requests of a
+ * workspace that sends more than its share are last, wait longest, and are rejected as soon as
+ * requests that come before them leave no time. A workspace or priority that is served much more
+ * rarely than all requests are gets a turn: its first request comes before the others that are in
+ * time.
  *
- * <p>Without tenants, requests of equal priority are served by arrival and there are no turns.
- * Requests without a tenant share as one tenant if there are others. Not thread-safe.
+ * <p>Without workspaces, requests of equal priority are served by arrival and there are no turns.
+ * Requests without a workspace share as one workspace if there are others. Not thread-safe.
  *
  * @param <T> the type of the queued items
  */
@@ -61,7 +62,7 @@
                     .thenComparingLong(waiter -> waiter.sequence);
 
     private final List<Waiter<T>> waiters = new ArrayList<>();
-    private final TenantShares shares = new TenantShares();
+    private final WorkspaceShares shares = new WorkspaceShares();
     private long nextSequence;
     private long lastGrantMillis = Long.MIN_VALUE;
     private double grantIntervalMillis;
@@ -69,14 +70,18 @@
     /**
      * A request for capacity.
      *
-     * @param tenant the name of the tenant that sent the request, if any
+     * @param workspace the name of the workspace that sent the request, if any
      * @param priority the priority; 0 is the most urgent
      * @param late whether the request has already missed its latency objective
      * @param giveUpMillis the time at which the request leaves the queue unserved
      * @param tokens the capacity that the request needs
      */
     public record Claim(
-            Optional<String> tenant, int priority, boolean late, long giveUpMillis, long tokens) {}
+            Optional<String> workspace,
+            int priority,
+            boolean late,
+            long giveUpMillis,
+            long tokens) {}
 
     /**
      * The result of adding a request.
@@ -152,7 +157,7 @@
         long tag = shares.assignTag(flow, claim.tokens());
         Waiter<T> waiter = new Waiter<>(item, claim, flow, tag, nextSequence++);
         add(waiter);
-        if (shares.hasTenants()) {
+        if (shares.hasWorkspaces()) {
             giveDueTurns(waiter);
             return rejectUnservable(waiter, nowMillis);
         }
@@ -175,7 +180,7 @@
         return ahead == 0 || nowMillis + ahead * intervalMillis <= waiter.claim.giveUpMillis();
     }
 
-    /** Gives turns that are due to the arrived request's tenant and priority. */
+    /** Gives turns that are due to the arrived request's workspace and priority. */
     private void giveDueTurns(Waiter<T> arrived) {
         if (arrived.isLate()) {
             return;
@@ -338,19 +343,19 @@
      * Returns how strongly a refused request competes for a full server.
      *
      * <p>Entries that share a pool get freed capacity in proportion to how often they ask. Without
-     * tenants, the demand is the number of requests that wait. Otherwise a tenant's entry must not
-     * get more by sending more, so that tenants are counted, and the more urgent the refused
-     * request, the greater the demand.
+     * workspaces, the demand is the number of requests that wait. Otherwise a workspace's entry
+     * must not get more by sending more, so that workspaces are counted, and the more urgent the
+     * refused request, the greater the demand.
      *
      * @param refused the refused request, which is not in the queue
-     * @return the demand, 1 for a single request without tenant
+     * @return the demand, 1 for a single request without workspace
      */
     public double demand(Waiter<T> refused) {
-        if (!shares.hasTenants()) {
+        if (!shares.hasWorkspaces()) {
             return waiters.size() + 1;
         }
         int flows = shares.waitingFlowsWith(refused.flow);
-        if (!shares.hasLessUrgentTenants()) {
+        if (!shares.hasLessUrgentWorkspaces()) {
             return flows;
         }
         return flows * (refused.isMostUrgent() ? URGENT_DEMAND : LESS_URGENT_DEMAND);
@@ -360,10 +365,10 @@
      * Returns whether capacity that this entry frees is left to whoever asks for it next, since
      * more urgent requests may wait at other entries.
      *
-     * @return true if tenants compete and the first request is not of the highest urgency
+     * @return true if workspaces compete and the first request is not of the highest urgency
      */
     public boolean isYielding() {
-        return shares.hasTenants() && peek().filter(first -> !first.isMostUrgent()).isPresent();
+        return shares.hasWorkspaces() && peek().filter(first -> !first.isMostUrgent()).isPresent();
     }
 
     /**
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeServerSelector.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DecodeServerSelector.java
@@ -17,8 +17,8 @@
  * until one of this entry's requests ends there; among the others, the one with the fewest tokens
  * of this entry is selected. Capacity that becomes free at a full server goes to the entry that
  * requests it next, so the pause is shorter the more requests wait: an entry with twice the
- * arrivals requests twice as often. Where tenants compete, {@link AdmissionQueue#demand} weighs
- * tenants and urgency instead.
+ * arrivals requests twice as often. Where workspaces compete, {@link AdmissionQueue#demand} weighs
+ * workspaces and urgency instead.
  *
  * <p>A server that is changing its stage still grants reservations but then refuses every run,
  * which wastes the prefilled prompt, so such a server is excluded too. Not thread-safe.
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EntryOrder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EntryOrder.java
@@ -31,7 +31,7 @@
     /**
      * Returns the entry that comes before all others for a task.
      *
-     * @param labels the names of the task, such as the name of a tenant
+     * @param labels the names of the task, such as the name of a workspace
      * @param entries the addresses of the entries
      * @return the address of the first entry; empty if there are no entries
      */
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RequestAttributes.java
@@ -1,6 +1,6 @@
 package dev.foxtailshed.kernel.direct;
 
-import dev.foxtailshed.kernel.direct.tenant.ApiKey;
+import dev.foxtailshed.kernel.direct.workspace.ApiKey;
 import java.util.Optional;
 import java.util.OptionalLong;
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
@@ -1,7 +1,7 @@
 package dev.foxtailshed.kernel.direct;
 
-import dev.foxtailshed.kernel.direct.tenant.TenantTable;
-import dev.foxtailshed.kernel.direct.tenant.UrgencyRanks;
+import dev.foxtailshed.kernel.direct.workspace.UrgencyRanks;
+import dev.foxtailshed.kernel.direct.workspace.WorkspaceTable;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -19,7 +19,7 @@
     private final List<DirectRoute> routes;
     private final Map<String, DirectService> services;
     private final CallerLimits limits;
-    private final Optional<TenantTable> tenants;
+    private final Optional<WorkspaceTable> workspaces;
     private final Optional<UrgencyRanks> urgencyRanks;
     private final Map<String, Map<String, DirectRoute>> byHostAndPrefix = new HashMap<>();
 
@@ -30,21 +30,21 @@
      * @param routes the routes
      * @param services the services by name
      * @param limits the limits on callers
-     * @param tenants the tenants; empty if callers need no keys
+     * @param workspaces the workspaces; empty if callers need no keys
      */
     public RouteTable(
             long version,
             List<DirectRoute> routes,
             Map<String, DirectService> services,
             CallerLimits limits,
-            Optional<TenantTable> tenants) {
+            Optional<WorkspaceTable> workspaces) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.services = Map.copyOf(services);
         this.limits = limits;
-        this.tenants = tenants;
+        this.workspaces = workspaces;
         this.urgencyRanks =
-                tenants.map(
+                workspaces.map(
                         table ->
                                 new UrgencyRanks(
                                         table.byName().values(),
@@ -124,18 +124,18 @@
     }
 
     /**
-     * Returns the tenants.
+     * Returns the workspaces.
      *
-     * @return the tenants and their keys, or empty if callers need no keys
+     * @return the workspaces and their keys, or empty if callers need no keys
      */
-    public Optional<TenantTable> tenants() {
-        return tenants;
+    public Optional<WorkspaceTable> workspaces() {
+        return workspaces;
     }
 
     /**
-     * Returns the ranks of urgency among the tenants and routes.
+     * Returns the ranks of urgency among the workspaces and routes.
      *
-     * @return the ranks, or empty if the configuration has no tenants
+     * @return the ranks, or empty if the configuration has no workspaces
      */
     public Optional<UrgencyRanks> urgencyRanks() {
         return urgencyRanks;
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/TenantShares.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/WorkspaceShares.java
@@ -7,31 +7,31 @@
 import java.util.Optional;
 
 /**
- * Shares the capacity that an entry gets among its tenants, by start-time fair queueing, and gives
- * turns to those that would starve.
+ * Shares the capacity that an entry gets among its workspaces, by start-time fair queueing, and
+ * gives turns to those that would starve.
  *
- * <p>A level has all requests of one urgency, a flow those of one tenant in a level. The requests
- * of a flow get consecutive start tags, each greater than the previous one by the tokens of that
- * request, and the lowest tag of a level is served next. A flow that was idle starts at the level's
- * virtual time, the tag that was served last, so that idleness earns nothing and costs nothing. A
- * request that ends unserved does not count.
+ * <p>A level has all requests of one urgency, a flow those of one workspace in a level. The
+ * requests of a flow get consecutive start tags, each greater than the previous one by the tokens
+ * of that request, and the lowest tag of a level is served next. A flow that was idle starts at the
+ * level's virtual time, the tag that was served last, so that idleness earns nothing and costs
+ * nothing. A request that ends unserved does not count.
  *
- * <p>All tenants have the same weight. A tenant's limit would be the alternative, but limits bound
- * what a tenant may use over a window, are enforced before requests are queued, and may be absent;
- * weights by demand would reward those who send the most.
+ * <p>All workspaces have the same weight. A workspace's limit would be the alternative, but limits
+ * bound what a workspace may use over a window, are enforced before requests are queued, and may be
+ * absent; weights by demand would reward those who send the most.
  *
- * <p>Equal shares of a scarce capacity may starve a large tenant, and strict urgency whatever is
+ * <p>Equal shares of a scarce capacity may starve a large workspace, and strict urgency whatever is
  * less urgent. Each arrival therefore adds to what is due to its flow and to its level, {@link
  * #TURN_SHARE} of what requests of this size get on average; service reduces it. A turn is due as
  * soon as this makes up a request. Where no flow or level is served much more rarely than all
  * requests are, there are no turns. Not thread-safe.
  */
-final class TenantShares {
+final class WorkspaceShares {
 
     /**
      * The rate of service below which turns are given, as a share of the rate at which all requests
-     * are served. No tenant and no route may get a quarter or less; the margin covers the requests
-     * that precede the first turn.
+     * are served. No workspace and no route may get a quarter or less; the margin covers the
+     * requests that precede the first turn.
      */
     private static final double TURN_SHARE = 0.4;
 
@@ -50,8 +50,8 @@
 
     private final Map<LevelKey, Level> levels = new HashMap<>();
     private final Map<FlowKey, Flow> flows = new HashMap<>();
-    private int tenantFlows;
-    private int lessUrgentTenantFlows;
+    private int workspaceFlows;
+    private int lessUrgentWorkspaceFlows;
     private int waitingFlows;
     private double arrivedTokens;
     private double servedTokens;
@@ -63,7 +63,7 @@
         }
     }
 
-    private record FlowKey(LevelKey level, Optional<String> tenant) {}
+    private record FlowKey(LevelKey level, Optional<String> workspace) {}
 
     /** Tokens of service that are due to a flow or a level. */
     private static final class Account {
@@ -83,7 +83,7 @@
         private long virtualTime;
     }
 
-    /** The requests of one tenant in one level. */
+    /** The requests of one workspace in one level. */
     static final class Flow {
         private final FlowKey key;
         private final Level level;
@@ -98,11 +98,11 @@
         }
 
         /**
-         * Flows without a tenant are never idle: there is one for each level, and their order must
-         * not change.
+         * Flows without a workspace are never idle: there is one for each level, and their order
+         * must not change.
          */
         private boolean isIdle(long nowMillis) {
-            return key.tenant().isPresent() && waiting == 0 && forgetAtMillis < nowMillis;
+            return key.workspace().isPresent() && waiting == 0 && forgetAtMillis < nowMillis;
         }
 
         boolean isSameLevel(Flow other) {
@@ -118,9 +118,9 @@
      */
     record Charge(double flowTokens, double levelTokens) {}
 
-    /** Returns whether tenants compete, or have competed recently. */
-    boolean hasTenants() {
-        return tenantFlows > 0;
+    /** Returns whether workspaces compete, or have competed recently. */
+    boolean hasWorkspaces() {
+        return workspaceFlows > 0;
     }
 
     /** Returns the number of flows that have requests waiting, with one that may have none. */
@@ -128,9 +128,11 @@
         return waitingFlows + (flow.waiting == 0 ? 1 : 0);
     }
 
-    /** Returns whether tenants have recently sent requests in time of less than highest urgency. */
-    boolean hasLessUrgentTenants() {
-        return lessUrgentTenantFlows > 0;
+    /**
+     * Returns whether workspaces have recently sent requests in time of less than highest urgency.
+     */
+    boolean hasLessUrgentWorkspaces() {
+        return lessUrgentWorkspaceFlows > 0;
     }
 
     /** Returns the flow of a request, and forgets idle ones. */
@@ -141,21 +143,21 @@
             forgetIdle(nowMillis);
         }
         LevelKey level = new LevelKey(claim.late(), claim.priority());
-        Flow flow = flows.computeIfAbsent(new FlowKey(level, claim.tenant()), this::newFlow);
+        Flow flow = flows.computeIfAbsent(new FlowKey(level, claim.workspace()), this::newFlow);
         flow.forgetAtMillis =
                 Math.max(flow.forgetAtMillis, nowMillis + REMEMBERED_WAITS * waitMillis);
         return flow;
     }
 
     private Flow newFlow(FlowKey key) {
-        countTenantFlow(key, 1);
+        countWorkspaceFlow(key, 1);
         return new Flow(key, levels.computeIfAbsent(key.level(), unused -> new Level()));
     }
 
-    private void countTenantFlow(FlowKey key, int change) {
-        if (key.tenant().isPresent()) {
-            tenantFlows += change;
-            lessUrgentTenantFlows += key.level().isLessUrgent() ? change : 0;
+    private void countWorkspaceFlow(FlowKey key, int change) {
+        if (key.workspace().isPresent()) {
+            workspaceFlows += change;
+            lessUrgentWorkspaceFlows += key.level().isLessUrgent() ? change : 0;
         }
     }
 
@@ -165,7 +167,7 @@
                         .filter(flow -> flow.isIdle(nowMillis))
                         .map(flow -> flow.key)
                         .toList();
-        idle.forEach(key -> countTenantFlow(key, -1));
+        idle.forEach(key -> countWorkspaceFlow(key, -1));
         idle.forEach(flows::remove);
     }
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/Collect.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/Collect.java
@@ -6,13 +6,13 @@
  * A request of a home for the credit that another entry does not need.
  *
  * @param peer the address of the entry to ask
- * @param tenants the names of the tenants that the home needs credit for
+ * @param workspaces the names of the workspaces that the home needs credit for
  * @param sentMillis when the request was made, by the clock of the home; not sent
  */
-public record Collect(String peer, List<String> tenants, long sentMillis) {
+public record Collect(String peer, List<String> workspaces, long sentMillis) {
 
     /** Keeps a copy of the names. */
     public Collect {
-        tenants = List.copyOf(tenants);
+        workspaces = List.copyOf(workspaces);
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CollectRounds.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CollectRounds.java
@@ -7,7 +7,8 @@
 import java.util.Map;
 
 /**
- * The rounds of collections of an entry, over all tenants that it is the home of. Not thread-safe.
+ * The rounds of collections of an entry, over all workspaces that it is the home of. Not
+ * thread-safe.
  */
 final class CollectRounds {
 
@@ -25,12 +26,12 @@
     }
 
     /** Begins a round; a peer that has not answered in an earlier one is left out. */
-    List<Collect> begin(List<String> peers, List<String> tenants, long nowMillis) {
+    List<Collect> begin(List<String> peers, List<String> workspaces, long nowMillis) {
         hasRound = true;
         lastMillis = nowMillis;
         List<Collect> round = new ArrayList<>();
         for (String peer : peers) {
-            Collect collect = new Collect(peer, tenants, nowMillis);
+            Collect collect = new Collect(peer, workspaces, nowMillis);
             if (inFlight.putIfAbsent(peer, collect) == null) {
                 round.add(collect);
             }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CreditLimits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CreditLimits.java
@@ -1,7 +1,8 @@
 package dev.foxtailshed.kernel.direct.quota;
 
 /**
- * How long a tenant's credit may be kept in each place, which bounds what can be spent in a window.
+ * How long a workspace's credit may be kept in each place, which bounds what can be spent in a
+ * window.
  *
  * <p>Credit is lost when it has been kept for longer than {@code localMillis} in the local bucket
  * where it accrued (by the size of the bucket), {@code poolMillis} in a home's pool or {@code
@@ -9,13 +10,13 @@
  * that window or in the sum of these times before it. The sum is the time in which the burst and
  * {@link #STORED_SHARE} of the excess accrue. This needs no agreement about who is the home, unlike
  * a limit on the size of each pool alone: a lost message or a partition makes two homes, and two
- * pools with the burst each may exceed the bound of a tenant with a large burst.
+ * pools with the burst each may exceed the bound of a workspace with a large burst.
  *
  * <p>The rest of the excess covers the credit of new processes, the debt of a home, and what
  * entries accrue beyond the rate while some of them count too few entries.
  *
- * @param tokensPerMilli the rate of the tenant over all entries
- * @param burstTokens the burst of the tenant
+ * @param tokensPerMilli the rate of the workspace over all entries
+ * @param burstTokens the burst of the workspace
  * @param excessTokens what the bounds allow above the limit in a window
  * @param localMillis the time in which a local bucket fills up
  * @param poolMillis how long collected credit is kept in a pool
@@ -43,7 +44,7 @@
 
     /**
      * Longest time in which stored credit accrues, in windows, in addition to the burst. A slack
-     * that is large compared with a tenant's rate would otherwise allow it hours of credit.
+     * that is large compared with a workspace's rate would otherwise allow it hours of credit.
      */
     private static final double MAXIMUM_STORED_WINDOWS = 4;
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CreditPool.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/CreditPool.java
@@ -1,7 +1,7 @@
 package dev.foxtailshed.kernel.direct.quota;
 
 /**
- * A tenant's credit at its home, from which the entries draw. Not thread-safe.
+ * A workspace's credit at its home, from which the entries draw. Not thread-safe.
  *
  * <p>Credit comes in rounds of collections, but is given out about as fast as it accrues, like that
  * of a central token bucket. Otherwise, above the limit, the large requests just after a round
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/Decision.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/Decision.java
@@ -1,10 +1,10 @@
 package dev.foxtailshed.kernel.direct.quota;
 
 /**
- * Whether a request is within its tenant's limit.
+ * Whether a request is within its workspace's limit.
  *
  * @param outcome what to do with the request
- * @param creditAfterMillis if it is rejected, the estimated time until its tenant has credit, at
+ * @param creditAfterMillis if it is rejected, the estimated time until its workspace has credit, at
  *     least 1; without jitter. A caller that can wait that long may spend again then. Otherwise 0
  */
 public record Decision(Outcome outcome, long creditAfterMillis) {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/Peers.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/Peers.java
@@ -44,12 +44,12 @@
                 .toList();
     }
 
-    /** Returns the first entry in the order for a tenant that is usable, or this entry. */
-    String home(String tenant, long nowMillis) {
+    /** Returns the first entry in the order for a workspace that is usable, or this entry. */
+    String home(String workspace, long nowMillis) {
         return failures.isEmpty()
-                ? homes.computeIfAbsent(tenant, name -> first(name, members))
+                ? homes.computeIfAbsent(workspace, name -> first(name, members))
                 : first(
-                        tenant,
+                        workspace,
                         members.stream()
                                 .filter(
                                         peer ->
@@ -58,8 +58,8 @@
                                 .toList());
     }
 
-    boolean isHome(String tenant, long nowMillis) {
-        return home(tenant, nowMillis).equals(self);
+    boolean isHome(String workspace, long nowMillis) {
+        return home(workspace, nowMillis).equals(self);
     }
 
     void recordFailure(String peer, long nowMillis) {
@@ -70,7 +70,7 @@
         failures.recordResponse(peer);
     }
 
-    private String first(String tenant, List<String> entries) {
-        return EntryOrder.first(Set.of(tenant), entries).orElse(self);
+    private String first(String workspace, List<String> entries) {
+        return EntryOrder.first(Set.of(workspace), entries).orElse(self);
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/QuotaAccounts.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/QuotaAccounts.java
@@ -12,12 +12,12 @@
 import java.util.Set;
 
 /**
- * Keeps each tenant within its limit over all entries together: the credit of one entry, and its
+ * Keeps each workspace within its limit over all entries together: the credit of one entry, and its
  * side of the messages between entries.
  *
- * <p>Load pattern: a tenant's requests come to any of hundreds of entries, and at the smallest
+ * <p>Load pattern: a workspace's requests come to any of hundreds of entries, and at the smallest
  * limits an entry's even share is less than one request. Each entry accrues its share in a local
- * bucket. What a request lacks is drawn from the tenant's home, which collects the credit of all
+ * bucket. What a request lacks is drawn from the workspace's home, which collects the credit of all
  * entries in its pool. The home is the first entry in the order of {@link EntryOrder} that answers.
  * An entry is also the home for itself while nobody else answers.
  *
@@ -42,7 +42,7 @@
  */
 public final class QuotaAccounts {
 
-    /** Shortest time between two rounds of collections, over all tenants. */
+    /** Shortest time between two rounds of collections, over all workspaces. */
     static final long COLLECT_INTERVAL_MILLIS = 500;
 
     /** Longest time without a draw after a refused one, so that new credit is not left unused. */
@@ -60,7 +60,7 @@
      */
     private static final int HOLD_WINDOWS = 2;
 
-    private final Map<String, TenantCredit> credits = new HashMap<>();
+    private final Map<String, WorkspaceCredit> credits = new HashMap<>();
     private final Set<String> pooled = new HashSet<>();
     private final CollectRounds rounds = new CollectRounds();
     private final Peers peers;
@@ -69,7 +69,7 @@
     private boolean isInitialCreditGiven;
 
     /**
-     * Creates the accounts of a new process, without tenants.
+     * Creates the accounts of a new process, without workspaces.
      *
      * @param self the address of this entry
      */
@@ -80,11 +80,11 @@
     /**
      * Sets the configuration and the membership, at each change of either.
      *
-     * <p>Lower limits take effect at once. Tenants that are missing are forgotten, and begin
-     * without credit if they come back. The first time that tenants and the number of entries are
-     * known, each tenant gets the initial credit of a new process.
+     * <p>Lower limits take effect at once. Workspaces that are missing are forgotten, and begin
+     * without credit if they come back. The first time that workspaces and the number of entries
+     * are known, each workspace gets the initial credit of a new process.
      *
-     * @param quotas the limits of the tenants that have one
+     * @param quotas the limits of the workspaces that have one
      * @param bounds how far the limits may be exceeded
      * @param entries the number of entries; empty if it is unknown, so that nothing accrues. It
      *     should be the number that may be running, not of those that are reachable
@@ -108,33 +108,33 @@
         pooled.retainAll(quotas.keySet());
         int count = entryCount(nowMillis);
         quotas.forEach(
-                (tenant, quota) -> {
+                (workspace, quota) -> {
                     CreditLimits limits = CreditLimits.of(quota, bounds);
-                    TenantCredit credit = credits.get(tenant);
+                    WorkspaceCredit credit = credits.get(workspace);
                     if (credit == null) {
-                        credits.put(tenant, new TenantCredit(limits, count, nowMillis));
+                        credits.put(workspace, new WorkspaceCredit(limits, count, nowMillis));
                     } else {
                         credit.configure(limits, count, nowMillis);
                     }
                 });
         if (!isInitialCreditGiven && count > 0 && !credits.isEmpty()) {
             isInitialCreditGiven = true;
-            credits.values().forEach(TenantCredit::addInitial);
+            credits.values().forEach(WorkspaceCredit::addInitial);
         }
     }
 
     /**
      * Spends credit for a request, or says what is missing.
      *
-     * @param tenant the name of the tenant; one without a limit is always admitted
+     * @param workspace the name of the workspace; one without a limit is always admitted
      * @param tokens the cost of the request
      * @param nowMillis the current time
      * @return whether the request is admitted. One that has waited for a draw is passed again
      * @throws IllegalArgumentException if the cost is negative or not finite
      */
-    public Decision spend(String tenant, double tokens, long nowMillis) {
+    public Decision spend(String workspace, double tokens, long nowMillis) {
         requireAmount(tokens);
-        TenantCredit credit = refreshed(tenant, nowMillis);
+        WorkspaceCredit credit = refreshed(workspace, nowMillis);
         if (credit == null) {
             return Decision.ADMITTED;
         }
@@ -146,8 +146,8 @@
         if (credit.drawInFlight().isPresent()) {
             return Decision.DRAW;
         }
-        if (peers.isHome(tenant, nowMillis)) {
-            return spendFromPool(tenant, credit, tokens, nowMillis);
+        if (peers.isHome(workspace, nowMillis)) {
+            return spendFromPool(workspace, credit, tokens, nowMillis);
         }
         long refusedMillis = credit.refusedMillis(tokens - credit.own(), nowMillis);
         if (refusedMillis == 0) {
@@ -158,9 +158,9 @@
     }
 
     private Decision spendFromPool(
-            String tenant, TenantCredit credit, double tokens, long nowMillis) {
+            String workspace, WorkspaceCredit credit, double tokens, long nowMillis) {
         credit.recordDemand(tokens, nowMillis);
-        CreditPool pool = poolForUse(tenant, credit, nowMillis);
+        CreditPool pool = poolForUse(workspace, credit, nowMillis);
         double missing = tokens - credit.own();
         if (pool.take(missing, missing, nowMillis) > 0) {
             credit.spendOwn(credit.own());
@@ -169,7 +169,8 @@
         return rejected(credit, tokens, creditAfterMillis(pool, missing, nowMillis));
     }
 
-    private static Decision rejected(TenantCredit credit, double tokens, long creditAfterMillis) {
+    private static Decision rejected(
+            WorkspaceCredit credit, double tokens, long creditAfterMillis) {
         return Decision.rejected(
                 Math.min(creditAfterMillis, credit.accrualMillis(tokens).orElse(Long.MAX_VALUE)));
     }
@@ -179,14 +180,14 @@
      * bucket has no room for is lost. To be called soon after the request was admitted, as the
      * credit is as if it was new.
      *
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param tokens the cost of the request
      * @param nowMillis the current time
      * @throws IllegalArgumentException if the cost is negative or not finite
      */
-    public void refund(String tenant, double tokens, long nowMillis) {
+    public void refund(String workspace, double tokens, long nowMillis) {
         requireAmount(tokens);
-        TenantCredit credit = refreshed(tenant, nowMillis);
+        WorkspaceCredit credit = refreshed(workspace, nowMillis);
         if (credit != null) {
             credit.refund(tokens);
         }
@@ -196,59 +197,60 @@
      * Begins a draw for a request for which {@link #spend} has returned {@code DRAW}, if no others
      * wait for one.
      *
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param tokens the whole cost of the request
      * @param nowMillis the current time
      * @return as in {@link #nextDraw(String, double, double, long)}
      * @throws IllegalArgumentException if the cost is negative or not finite
      */
-    public Optional<Draw> nextDraw(String tenant, double tokens, long nowMillis) {
-        return nextDraw(tenant, tokens, tokens, nowMillis);
+    public Optional<Draw> nextDraw(String workspace, double tokens, long nowMillis) {
+        return nextDraw(workspace, tokens, tokens, nowMillis);
     }
 
     /**
      * Begins a draw for a request for which {@link #spend} has returned {@code DRAW}.
      *
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param tokens the whole cost of the request
-     * @param allTokens the cost of all requests of the tenant that wait for a draw, which may get
-     *     credit with the same draw
+     * @param allTokens the cost of all requests of the workspace that wait for a draw, which may
+     *     get credit with the same draw
      * @param nowMillis the current time
-     * @return the draw to send; empty if one of the tenant is in flight, or if the request is to be
-     *     spent again at once, as there is credit or this entry has become the home
+     * @return the draw to send; empty if one of the workspace is in flight, or if the request is to
+     *     be spent again at once, as there is credit or this entry has become the home
      * @throws IllegalArgumentException if a cost is negative or not finite
      */
-    public Optional<Draw> nextDraw(String tenant, double tokens, double allTokens, long nowMillis) {
+    public Optional<Draw> nextDraw(
+            String workspace, double tokens, double allTokens, long nowMillis) {
         requireAmount(tokens);
         requireAmount(allTokens);
-        TenantCredit credit = refreshed(tenant, nowMillis);
+        WorkspaceCredit credit = refreshed(workspace, nowMillis);
         if (credit == null || credit.drawInFlight().isPresent() || credit.own() >= tokens) {
             return Optional.empty();
         }
-        if (peers.isHome(tenant, nowMillis)) {
+        if (peers.isHome(workspace, nowMillis)) {
             return Optional.empty();
         }
-        String home = peers.home(tenant, nowMillis);
-        return Optional.of(credit.beginDraw(home, tenant, tokens, allTokens, nowMillis));
+        String home = peers.home(workspace, nowMillis);
+        return Optional.of(credit.beginDraw(home, workspace, tokens, allTokens, nowMillis));
     }
 
     /**
      * Serves a draw of another entry; an entry does so whether or not it is the home in its view.
      *
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param neededTokens what the other entry needs
      * @param wantedTokens the most that it takes
      * @param nowMillis the current time
-     * @return the credit, which is subtracted; none if the tenant is unknown or the numbers are
+     * @return the credit, which is subtracted; none if the workspace is unknown or the numbers are
      *     invalid
      */
     public DrawReply onDraw(
-            String tenant, double neededTokens, double wantedTokens, long nowMillis) {
-        TenantCredit credit = refreshed(tenant, nowMillis);
+            String workspace, double neededTokens, double wantedTokens, long nowMillis) {
+        WorkspaceCredit credit = refreshed(workspace, nowMillis);
         if (credit == null || !isAmount(neededTokens) || !isAmount(wantedTokens)) {
             return new DrawReply(0, COLLECT_INTERVAL_MILLIS);
         }
-        CreditPool pool = poolForUse(tenant, credit, nowMillis);
+        CreditPool pool = poolForUse(workspace, credit, nowMillis);
         if (pool.balance() < neededTokens) {
             pool.add(credit.giveUp(), nowMillis, nowMillis);
         }
@@ -266,7 +268,7 @@
      * @param nowMillis the current time
      */
     public void onDrawReply(Draw draw, DrawReply reply, long nowMillis) {
-        TenantCredit credit = endDraw(draw, nowMillis);
+        WorkspaceCredit credit = endDraw(draw, nowMillis);
         if (credit == null) {
             return;
         }
@@ -293,8 +295,8 @@
         }
     }
 
-    private TenantCredit endDraw(Draw draw, long nowMillis) {
-        TenantCredit credit = refreshed(draw.tenant(), nowMillis);
+    private WorkspaceCredit endDraw(Draw draw, long nowMillis) {
+        WorkspaceCredit credit = refreshed(draw.workspace(), nowMillis);
         if (credit == null || !credit.drawInFlight().equals(Optional.of(draw))) {
             return null;
         }
@@ -319,21 +321,21 @@
 
     private List<String> lowPools(long nowMillis) {
         List<String> low = new ArrayList<>();
-        for (Iterator<String> tenants = pooled.iterator(); tenants.hasNext(); ) {
-            String tenant = tenants.next();
-            TenantCredit credit = refreshed(tenant, nowMillis);
+        for (Iterator<String> workspaces = pooled.iterator(); workspaces.hasNext(); ) {
+            String workspace = workspaces.next();
+            WorkspaceCredit credit = refreshed(workspace, nowMillis);
             CreditPool pool = credit.poolForUse(nowMillis);
             long activeMillis =
-                    peers.isHome(tenant, nowMillis)
+                    peers.isHome(workspace, nowMillis)
                             ? Math.max(windowMillis, 2 * credit.limits().poolMillis())
                             : SUBSTITUTE_ACTIVE_MILLIS;
             if (pool.idleMillis(nowMillis) >= activeMillis) {
                 if (pool.balance() <= 0) {
                     credit.dropPool();
-                    tenants.remove();
+                    workspaces.remove();
                 }
             } else if (pool.needsCredit()) {
-                low.add(tenant);
+                low.add(workspace);
                 pool.beginRound(nowMillis);
                 if (!peers.isAlone()) {
                     pool.add(credit.giveUp(), nowMillis, nowMillis);
@@ -346,17 +348,17 @@
     /**
      * Gives up local credit to an entry that collects.
      *
-     * @param tenants the names of the tenants
+     * @param workspaces the names of the workspaces
      * @param nowMillis the current time
      * @return the credit of those that have any, which is subtracted
      */
-    public Map<String, Double> onCollect(List<String> tenants, long nowMillis) {
+    public Map<String, Double> onCollect(List<String> workspaces, long nowMillis) {
         Map<String, Double> given = new HashMap<>();
-        for (String tenant : tenants) {
-            TenantCredit credit = refreshed(tenant, nowMillis);
+        for (String workspace : workspaces) {
+            WorkspaceCredit credit = refreshed(workspace, nowMillis);
             double tokens = credit == null ? 0 : credit.giveUp();
             if (tokens > 0) {
-                given.put(tenant, tokens);
+                given.put(workspace, tokens);
             }
         }
         return given;
@@ -367,7 +369,7 @@
      * ignored.
      *
      * @param collect the request
-     * @param tokens the credit, by tenant
+     * @param tokens the credit, by workspace
      * @param nowMillis the current time
      */
     public void onCollectReply(Collect collect, Map<String, Double> tokens, long nowMillis) {
@@ -376,9 +378,9 @@
         }
         peers.recordResponse(collect.peer());
         int count = Math.max(1, entryCount(nowMillis));
-        for (String tenant : collect.tenants()) {
-            TenantCredit credit = refreshed(tenant, nowMillis);
-            Double given = tokens.get(tenant);
+        for (String workspace : collect.workspaces()) {
+            WorkspaceCredit credit = refreshed(workspace, nowMillis);
+            Double given = tokens.get(workspace);
             if (credit != null && given != null && isAmount(given)) {
                 double accepted = Math.min(given, credit.limits().localCapTokens(count));
                 credit.pool()
@@ -423,24 +425,24 @@
     /**
      * Returns the credit that this entry can spend without a draw, except for its pool.
      *
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param nowMillis the current time
-     * @return tokens; 0 for a tenant without a limit
+     * @return tokens; 0 for a workspace without a limit
      */
-    public double localTokens(String tenant, long nowMillis) {
-        TenantCredit credit = refreshed(tenant, nowMillis);
+    public double localTokens(String workspace, long nowMillis) {
+        WorkspaceCredit credit = refreshed(workspace, nowMillis);
         return credit == null ? 0 : credit.own();
     }
 
     /**
      * Returns the credit in this entry's pool.
      *
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param nowMillis the current time
-     * @return tokens, negative in debt; 0 if this entry has no pool for the tenant
+     * @return tokens, negative in debt; 0 if this entry has no pool for the workspace
      */
-    public double poolTokens(String tenant, long nowMillis) {
-        TenantCredit credit = refreshed(tenant, nowMillis);
+    public double poolTokens(String workspace, long nowMillis) {
+        WorkspaceCredit credit = refreshed(workspace, nowMillis);
         return credit == null ? 0 : credit.pool().map(CreditPool::balance).orElse(0.0);
     }
 
@@ -448,24 +450,24 @@
      * Returns the credit that this entry had, or was sent, and lost: there was no room for it, it
      * was too old or a limit was lowered. Accrual to a full bucket does not count.
      *
-     * @param tenant the name of the tenant
-     * @return tokens since the tenant was configured; 0 for a tenant without a limit
+     * @param workspace the name of the workspace
+     * @return tokens since the workspace was configured; 0 for a workspace without a limit
      */
-    public double lostTokens(String tenant) {
-        TenantCredit credit = credits.get(tenant);
+    public double lostTokens(String workspace) {
+        WorkspaceCredit credit = credits.get(workspace);
         return credit == null ? 0 : credit.lost();
     }
 
-    private TenantCredit refreshed(String tenant, long nowMillis) {
-        TenantCredit credit = credits.get(tenant);
+    private WorkspaceCredit refreshed(String workspace, long nowMillis) {
+        WorkspaceCredit credit = credits.get(workspace);
         if (credit != null) {
             credit.refresh(entryCount(nowMillis), nowMillis);
         }
         return credit;
     }
 
-    private CreditPool poolForUse(String tenant, TenantCredit credit, long nowMillis) {
-        pooled.add(tenant);
+    private CreditPool poolForUse(String workspace, WorkspaceCredit credit, long nowMillis) {
+        pooled.add(workspace);
         return credit.poolForUse(nowMillis);
     }
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/QuotaBounds.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/QuotaBounds.java
@@ -3,8 +3,8 @@
 /**
  * How far all entries together may exceed a limit.
  *
- * <p>In every window, a tenant's tokens are at most {@code (rate * window + burst) * (1 + overage)
- * + slack}.
+ * <p>In every window, a workspace's tokens are at most {@code (rate * window + burst) * (1 +
+ * overage) + slack}.
  *
  * @param windowMillis the length of the window, in milliseconds
  * @param overage the relative excess, such as 0.1
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/TokenQuota.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/TokenQuota.java
@@ -1,10 +1,10 @@
 package dev.foxtailshed.kernel.direct.quota;
 
 /**
- * The limit on a tenant's traffic over all entries together: a token bucket.
+ * The limit on a workspace's traffic over all entries together: a token bucket.
  *
- * @param tokensPerSecond the rate at which the tenant earns credit
- * @param burstTokens the most credit that the tenant saves up
+ * @param tokensPerSecond the rate at which the workspace earns credit
+ * @param burstTokens the most credit that the workspace saves up
  */
 public record TokenQuota(double tokensPerSecond, double burstTokens) {
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/TenantCredit.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/WorkspaceCredit.java
@@ -4,10 +4,10 @@
 import java.util.OptionalLong;
 
 /**
- * One tenant's credit at one entry: the local bucket, the credit that was drawn from the home, and
- * the pool if this entry is asked for draws. Not thread-safe.
+ * One workspace's credit at one entry: the local bucket, the credit that was drawn from the home,
+ * and the pool if this entry is asked for draws. Not thread-safe.
  */
-final class TenantCredit {
+final class WorkspaceCredit {
 
     /** Time constant of the estimated demand. */
     private static final double DEMAND_MILLIS = 2_000;
@@ -56,7 +56,7 @@
      * @param entries the number of entries; 0 if unknown, so that nothing accrues
      * @param nowMillis the current time
      */
-    TenantCredit(CreditLimits limits, int entries, long nowMillis) {
+    WorkspaceCredit(CreditLimits limits, int entries, long nowMillis) {
         this.limits = limits;
         this.entries = entries;
         this.refilledMillis = nowMillis;
@@ -198,20 +198,20 @@
      * Begins a draw for a request.
      *
      * @param home the entry to ask
-     * @param tenant the name of the tenant
+     * @param workspace the name of the workspace
      * @param tokens the cost of the request, which own credit does not cover
      * @param allTokens the cost of all waiting requests
      * @param nowMillis the current time
      * @return the draw, which also asks for credit for other waiting or expected requests, as far
      *     as there is room for it
      */
-    Draw beginDraw(String home, String tenant, double tokens, double allTokens, long nowMillis) {
+    Draw beginDraw(String home, String workspace, double tokens, double allTokens, long nowMillis) {
         decayDemand(nowMillis);
         double needed = tokens - own();
         double more = Math.max(allTokens - tokens, inAdvance(nowMillis));
         double room = entries == 0 ? 0 : localRoom();
         double wanted = Math.max(needed, Math.min(needed + more, room));
-        Draw draw = new Draw(home, tenant, needed, wanted, nowMillis);
+        Draw draw = new Draw(home, workspace, needed, wanted, nowMillis);
         drawInFlight = Optional.of(draw);
         return draw;
     }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/package-info.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/quota/package-info.java
@@ -1,2 +1,2 @@
-/** Quotas of tenants that hold over all entries together. */
+/** Quotas of workspaces that hold over all entries together. */
 package dev.foxtailshed.kernel.direct.quota;
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/tenant/ApiKey.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/ApiKey.java
@@ -1,11 +1,11 @@
-package dev.foxtailshed.kernel.direct.tenant;
+package dev.foxtailshed.kernel.direct.workspace;
 
 import dev.foxtailshed.kernel.manifest.Digests;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
- * A key by which a caller shows its tenant. Immutable.
+ * A key by which a caller shows its workspace. Immutable.
  *
  * <p>The key is a secret: its text form shows only a part of its digest, which tells keys apart in
  * logs.
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/tenant/Tenant.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/Workspace.java
@@ -1,4 +1,4 @@
-package dev.foxtailshed.kernel.direct.tenant;
+package dev.foxtailshed.kernel.direct.workspace;
 
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
 import dev.foxtailshed.kernel.direct.quota.TokenQuota;
@@ -8,13 +8,13 @@
 /**
  * A customer of the deployment, whose callers share a quota and an urgency.
  *
- * @param name the tenant's name
+ * @param name the workspace's name
  * @param priority the priority, which goes before that of the route; 0 is the most urgent
  * @param quota the limit over all entries together, empty if there is none
  * @param unit what the quota counts
  * @param plainTokens the cost of a request without token counts, where the quota counts tokens
  */
-public record Tenant(
+public record Workspace(
         String name,
         OptionalInt priority,
         Optional<TokenQuota> quota,
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionFairnessReplayTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionFairnessReplayTest.java
@@ -13,17 +13,18 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Replays loads in which tenants compete for a full model pool, at entries that each see a part of
- * them, and compares with the order by priority and arrival.
+ * Replays loads in which workspaces compete for a full model pool, at entries that each see a part
+ * of them, and compares with the order by priority and arrival.
  *
- * <p>The goals are those of docs/design/hard-load.md: capacity is shared among tenants, not
- * according to who sends the most or who retries first; urgent work is served first; a tenant that
- * crowds out others waits and is rejected first; no tenant and no route is served at a quarter of
- * the overall rate or less. Bounds that compare are against the baseline or between tenants.
+ * <p>The goals are those of docs/design/hard-load.md: capacity is shared among workspaces, not
+ * according to who sends the most or who retries first; urgent work is served first; a workspace
+ * that crowds out others waits and is rejected first; no workspace and no route is served at a
+ * quarter of the overall rate or less. Bounds that compare are against the baseline or between
+ * workspaces.
  */
 class AdmissionFairnessReplayTest {
 
-    /** Enough for some hundred requests of the smallest tenant. */
+    /** Enough for some hundred requests of the smallest workspace. */
     private static final int SEEDS = 24;
 
     private static final long BURST_MILLIS = 6_500;
@@ -40,22 +41,24 @@
 
     private static void assertNobodyStarves(FairnessLoad load, FairnessReport report) {
         double bound = MINIMUM_RATE * report.all().servedShare();
-        for (int i = 0; i < load.tenants().size(); i++) {
-            assertThat(report.ofTenant(i).servedShare()).as("tenant %d", i).isGreaterThan(bound);
+        for (int i = 0; i < load.workspaces().size(); i++) {
+            assertThat(report.ofWorkspace(i).servedShare())
+                    .as("workspace %d", i)
+                    .isGreaterThan(bound);
         }
         for (Kind kind : Kind.values()) {
             assertThat(report.ofKind(kind).servedShare()).as("%s", kind).isGreaterThan(bound);
         }
     }
 
-    /** The tenants that send more must not take the share of the others. */
-    private static void assertHotTenantsGiveWay(FairnessLoad load, List<Integer> hot) {
+    /** The workspaces that send more must not take the share of the others. */
+    private static void assertHotWorkspacesGiveWay(FairnessLoad load, List<Integer> hot) {
         FairnessReport[] baseline = new FairnessReport[1];
         FairnessReport fair = replayBoth(load, baseline);
 
-        Outcome hotOnes = fair.sum((tenant, kind) -> hot.contains(tenant));
-        Outcome others = fair.sum((tenant, kind) -> !hot.contains(tenant));
-        Outcome othersBefore = baseline[0].sum((tenant, kind) -> !hot.contains(tenant));
+        Outcome hotOnes = fair.sum((workspace, kind) -> hot.contains(workspace));
+        Outcome others = fair.sum((workspace, kind) -> !hot.contains(workspace));
+        Outcome othersBefore = baseline[0].sum((workspace, kind) -> !hot.contains(workspace));
         assertThat(others.inTimeShare()).isGreaterThan(othersBefore.inTimeShare());
         assertThat(others.meanWaitMillis()).isLessThan(othersBefore.meanWaitMillis());
         assertThat(hotOnes.servedShare()).isLessThan(others.servedShare());
@@ -65,17 +68,17 @@
 
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2})
-    void oneTenantAtSevenTimesItsUsualGivesWay(int hot) {
-        String name = "(a) tenant " + hot + " at 7 times its usual for 6.5 s";
+    void oneWorkspaceAtSevenTimesItsUsualGivesWay(int hot) {
+        String name = "(a) workspace " + hot + " at 7 times its usual for 6.5 s";
         List<Integer> hotOnes = List.of(hot);
-        assertHotTenantsGiveWay(FairnessLoad.hotTenants(name, 7, hotOnes), hotOnes);
+        assertHotWorkspacesGiveWay(FairnessLoad.hotWorkspaces(name, 7, hotOnes), hotOnes);
     }
 
     @Test
-    void threeHotTenantsGiveWay() {
+    void threeHotWorkspacesGiveWay() {
         List<Integer> hot = List.of(1, 3, 5);
-        String name = "(b) tenants 1, 3 and 5 at 6 times their usual for 6.5 s";
-        assertHotTenantsGiveWay(FairnessLoad.hotTenants(name, 6, hot), hot);
+        String name = "(b) workspaces 1, 3 and 5 at 6 times their usual for 6.5 s";
+        assertHotWorkspacesGiveWay(FairnessLoad.hotWorkspaces(name, 6, hot), hot);
     }
 
     /** In the baseline, whoever returns at once takes the capacity of those that wait. */
@@ -88,7 +91,7 @@
                         Behavior.RETURN_LATER);
         FairnessLoad impatient =
                 FairnessLoad.pairs(
-                        "(c) burst of 2, callers of odd tenants return at once",
+                        "(c) burst of 2, callers of odd workspaces return at once",
                         Behavior.RETURN_LATER,
                         Behavior.RETURN_AT_ONCE);
         FairnessReport[] baseline = new FairnessReport[1];
@@ -96,16 +99,16 @@
         FairnessReport baselineIfPolite = baseline[0];
         FairnessReport fair = replayBoth(impatient, baseline);
 
-        Outcome odd = fair.sum((tenant, kind) -> tenant % 2 == 1);
-        Outcome even = fair.sum((tenant, kind) -> tenant % 2 == 0);
-        Outcome oddIfPolite = fairIfPolite.sum((tenant, kind) -> tenant % 2 == 1);
-        Outcome evenIfPolite = fairIfPolite.sum((tenant, kind) -> tenant % 2 == 0);
+        Outcome odd = fair.sum((workspace, kind) -> workspace % 2 == 1);
+        Outcome even = fair.sum((workspace, kind) -> workspace % 2 == 0);
+        Outcome oddIfPolite = fairIfPolite.sum((workspace, kind) -> workspace % 2 == 1);
+        Outcome evenIfPolite = fairIfPolite.sum((workspace, kind) -> workspace % 2 == 0);
         assertThat(odd.inTimeShare()).isLessThan(oddIfPolite.inTimeShare());
         assertThat(odd.inTimeShare()).isLessThan(even.inTimeShare());
         double lost = evenIfPolite.inTimeShare() - even.inTimeShare();
         double lostBefore =
-                baselineIfPolite.sum((tenant, kind) -> tenant % 2 == 0).inTimeShare()
-                        - baseline[0].sum((tenant, kind) -> tenant % 2 == 0).inTimeShare();
+                baselineIfPolite.sum((workspace, kind) -> workspace % 2 == 0).inTimeShare()
+                        - baseline[0].sum((workspace, kind) -> workspace % 2 == 0).inTimeShare();
         assertThat(lost).isLessThan(lostBefore);
         assertNobodyStarves(impatient, fair);
     }
@@ -128,40 +131,40 @@
     }
 
     @Test
-    void largeTenantsGiveWayToSmallOnesInGeneralBurst() {
-        FairnessLoad load = FairnessLoad.generalBurst("(e) all tenants at 2.3 times", 2.3);
+    void largeWorkspacesGiveWayToSmallOnesInGeneralBurst() {
+        FairnessLoad load = FairnessLoad.generalBurst("(e) all workspaces at 2.3 times", 2.3);
         FairnessReport[] baseline = new FairnessReport[1];
         FairnessReport fair = replayBoth(load, baseline);
 
-        int equalShare = load.tenants().size();
-        Outcome small = fair.sum((t, kind) -> load.tenants().get(t).share() < 1.0 / equalShare);
-        Outcome large = fair.sum((t, kind) -> load.tenants().get(t).share() >= 1.0 / equalShare);
+        int equalShare = load.workspaces().size();
+        Outcome small = fair.sum((t, kind) -> load.workspaces().get(t).share() < 1.0 / equalShare);
+        Outcome large = fair.sum((t, kind) -> load.workspaces().get(t).share() >= 1.0 / equalShare);
         Outcome smallBefore =
-                baseline[0].sum((t, kind) -> load.tenants().get(t).share() < 1.0 / equalShare);
+                baseline[0].sum((t, kind) -> load.workspaces().get(t).share() < 1.0 / equalShare);
         assertThat(small.inTimeShare()).isGreaterThan(smallBefore.inTimeShare());
         assertThat(small.inTimeShare()).isGreaterThan(large.inTimeShare());
         assertNobodyStarves(load, fair);
     }
 
     /**
-     * Strict urgency starves the other tenants for as long as the urgent ones fill the pool. The
+     * Strict urgency starves the other workspaces for as long as the urgent ones fill the pool. The
      * turns must not delay the most urgent streams.
      */
     @ParameterizedTest
     @CsvSource({"28, 6500", "28, 50000", "1, 50000"})
-    void lessUrgentTenantsGetTurns(int entries, long burstMillis) {
+    void lessUrgentWorkspacesGetTurns(int entries, long burstMillis) {
         String name =
-                "(f) urgent tenants at 4 times for " + burstMillis + " ms, entries: " + entries;
+                "(f) urgent workspaces at 4 times for " + burstMillis + " ms, entries: " + entries;
         FairnessLoad load =
-                FairnessLoad.urgentTenants(name, 4)
+                FairnessLoad.urgentWorkspaces(name, 4)
                         .withEntries(entries)
                         .withBurstMillis(burstMillis);
         FairnessReport[] baseline = new FairnessReport[1];
         FairnessReport fair = replayBoth(load, baseline);
 
-        Outcome mostUrgent = fair.sum((tenant, kind) -> tenant < 3 && kind == Kind.URGENT);
+        Outcome mostUrgent = fair.sum((workspace, kind) -> workspace < 3 && kind == Kind.URGENT);
         Outcome mostUrgentBefore =
-                baseline[0].sum((tenant, kind) -> tenant < 3 && kind == Kind.URGENT);
+                baseline[0].sum((workspace, kind) -> workspace < 3 && kind == Kind.URGENT);
         assertThat(mostUrgent.inTimeShare()).isGreaterThanOrEqualTo(mostUrgentBefore.inTimeShare());
         assertNobodyStarves(load, fair);
     }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionOrderDifferentialTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionOrderDifferentialTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Compares {@link AdmissionQueue} without tenants with the order that it had before tenants, on
- * random schedules: guards against a change for deployments without tenants.
+ * Compares {@link AdmissionQueue} without workspaces with the order that it had before workspaces,
+ * on random schedules: guards against a change for deployments without workspaces.
  */
 class AdmissionOrderDifferentialTest {
 
@@ -31,7 +31,7 @@
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
-    void withoutTenantsTheOrderAndTheRejectionsAreUnchanged(long seed) {
+    void withoutWorkspacesTheOrderAndTheRejectionsAreUnchanged(long seed) {
         Random random = new Random(seed);
         // Some seeds have short queues, others long ones.
         int arrivalsPerGrant = 1 + (int) (seed % 4);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionOrderReferenceTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionOrderReferenceTest.java
@@ -27,24 +27,25 @@
 
     private static final long GRANT_INTERVAL_MILLIS = 100;
 
-    private record Request(int number, int tenant, long tokens, long giveUpMillis) {}
+    private record Request(int number, int workspace, long tokens, long giveUpMillis) {}
 
-    /** Keeps the requests of each tenant, and the start tag of the first one. */
+    /** Keeps the requests of each workspace, and the start tag of the first one. */
     private static final class Reference {
         private final Map<Integer, Deque<Request>> waiting = new HashMap<>();
         private final Map<Integer, Long> tags = new HashMap<>();
         private long virtualTime;
 
         void add(Request request) {
-            Deque<Request> own = waiting.computeIfAbsent(request.tenant(), t -> new ArrayDeque<>());
+            Deque<Request> own =
+                    waiting.computeIfAbsent(request.workspace(), t -> new ArrayDeque<>());
             if (own.isEmpty()) {
-                tags.merge(request.tenant(), virtualTime, Math::max);
+                tags.merge(request.workspace(), virtualTime, Math::max);
             }
             own.add(request);
         }
 
         void remove(Request request) {
-            waiting.get(request.tenant()).remove(request);
+            waiting.get(request.workspace()).remove(request);
         }
 
         Optional<Request> next() {
@@ -52,20 +53,20 @@
                     .filter(own -> !own.isEmpty())
                     .map(Deque::peek)
                     .min(
-                            Comparator.<Request>comparingLong(first -> tags.get(first.tenant()))
+                            Comparator.<Request>comparingLong(first -> tags.get(first.workspace()))
                                     .thenComparingInt(Request::number));
         }
 
         void serve(Request request) {
             remove(request);
-            virtualTime = tags.get(request.tenant());
-            tags.merge(request.tenant(), request.tokens(), Long::sum);
+            virtualTime = tags.get(request.workspace());
+            tags.merge(request.workspace(), request.tokens(), Long::sum);
         }
 
         /** Returns the order in which all requests would be served if no other ones came. */
         List<Request> order() {
             Reference copy = new Reference();
-            waiting.forEach((tenant, own) -> copy.waiting.put(tenant, new ArrayDeque<>(own)));
+            waiting.forEach((workspace, own) -> copy.waiting.put(workspace, new ArrayDeque<>(own)));
             copy.tags.putAll(tags);
             List<Request> order = new ArrayList<>();
             for (Optional<Request> next = copy.next(); next.isPresent(); next = copy.next()) {
@@ -96,11 +97,11 @@
             }
             serve(now);
             for (int arrivals = random.nextInt(4); arrivals > 0; arrivals--) {
-                // Half of the requests are those of tenant 0.
-                int tenant = random.nextBoolean() ? 0 : random.nextInt(6);
+                // Half of the requests are those of workspace 0.
+                int workspace = random.nextBoolean() ? 0 : random.nextInt(6);
                 long giveUpMillis = now + 100 + random.nextInt(2_000);
                 long tokens = 1_000 + random.nextInt(5_000);
-                Request request = new Request(nextNumber++, tenant, tokens, giveUpMillis);
+                Request request = new Request(nextNumber++, workspace, tokens, giveUpMillis);
                 // By then, the average interval has settled.
                 int displacedNow = enqueue(request, now, i > 200);
                 displaced += Math.max(0, displacedNow);
@@ -125,8 +126,8 @@
 
     /** Returns the number of requests rejected in favor of a new one, or -1 if it was rejected. */
     private int enqueue(Request request, long now, boolean settled) {
-        Optional<String> tenant = Optional.of("tenant-" + request.tenant());
-        Claim claim = new Claim(tenant, 1, true, request.giveUpMillis(), request.tokens());
+        Optional<String> workspace = Optional.of("workspace-" + request.workspace());
+        Claim claim = new Claim(workspace, 1, true, request.giveUpMillis(), request.tokens());
         reference.add(request);
         List<Request> order = reference.order();
         Enqueued<Request> enqueued = queue.enqueue(request, claim, now);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionQueueTenantsTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/AdmissionQueueWorkspacesTest.java
@@ -10,8 +10,8 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
-/** Tests how tenants share the capacity that an entry gets, and who is rejected. */
-class AdmissionQueueTenantsTest {
+/** Tests how workspaces share the capacity that an entry gets, and who is rejected. */
+class AdmissionQueueWorkspacesTest {
 
     private static final long GRANT_INTERVAL_MILLIS = 200;
     private static final long FAR_MILLIS = 1_000_000;
@@ -19,12 +19,12 @@
 
     private final AdmissionQueue<String> queue = new AdmissionQueue<>();
 
-    private static Claim claim(String tenant, int priority, long giveUpMillis) {
-        return new Claim(Optional.of(tenant), priority, false, giveUpMillis, TOKENS);
+    private static Claim claim(String workspace, int priority, long giveUpMillis) {
+        return new Claim(Optional.of(workspace), priority, false, giveUpMillis, TOKENS);
     }
 
-    private Waiter<String> add(String item, String tenant, long tokens) {
-        Claim claim = new Claim(Optional.of(tenant), 1, false, FAR_MILLIS, tokens);
+    private Waiter<String> add(String item, String workspace, long tokens) {
+        Claim claim = new Claim(Optional.of(workspace), 1, false, FAR_MILLIS, tokens);
         return queue.enqueue(item, claim, 0).waiter().orElseThrow();
     }
 
@@ -54,9 +54,9 @@
         return now;
     }
 
-    /** A tenant that sends first and most must not be served first and most. */
+    /** A workspace that sends first and most must not be served first and most. */
     @Test
-    void tenantsTakeTurnsWhateverTheySend() {
+    void workspacesTakeTurnsWhateverTheySend() {
         add("a1", "a", TOKENS);
         add("a2", "a", TOKENS);
         add("a3", "a", TOKENS);
@@ -67,9 +67,9 @@
         assertThat(serveAll()).containsExactly("a1", "b1", "c1", "a2", "c2", "a3");
     }
 
-    /** Sharing by requests would give most of the capacity to the tenant with long prompts. */
+    /** Sharing by requests would give most of the capacity to the workspace with long prompts. */
     @Test
-    void tenantsShareTokens() {
+    void workspacesShareTokens() {
         for (int i = 1; i <= 4; i++) {
             add("large" + i, "a", 6_000);
         }
@@ -80,7 +80,7 @@
         assertThat(serveAll().subList(0, 8)).filteredOn(item -> item.startsWith("l")).hasSize(2);
     }
 
-    /** Otherwise a tenant could save its share and then block all others. */
+    /** Otherwise a workspace could save its share and then block all others. */
     @Test
     void idlenessEarnsNothing() {
         add("b0", "b", TOKENS);
@@ -98,9 +98,9 @@
         assertThat(order.subList(0, 6)).containsOnlyOnce("b1", "b2", "b3").doesNotContain("b4");
     }
 
-    /** Otherwise the first to come back would get what a waiting tenant waits for. */
+    /** Otherwise the first to come back would get what a waiting workspace waits for. */
     @Test
-    void tenantThatReturnsAtOnceComesAfterTheOthers() {
+    void workspaceThatReturnsAtOnceComesAfterTheOthers() {
         add("a1", "a", TOKENS);
         add("b1", "b", TOKENS);
         add("b2", "b", TOKENS);
@@ -112,7 +112,7 @@
         assertThat(serveAll()).containsExactly("b2", "a2", "b3");
     }
 
-    /** Calls in flight must not all be those of one tenant. */
+    /** Calls in flight must not all be those of one workspace. */
     @Test
     void requestsInFlightCount() {
         add("a1", "a", TOKENS);
@@ -126,7 +126,7 @@
         assertThat(serveAll()).containsExactly("a1", "b1", "a2");
     }
 
-    /** A tenant whose requests are cancelled or expire has got nothing for them. */
+    /** A workspace whose requests are cancelled or expire has got nothing for them. */
     @Test
     void unservedRequestsDoNotCount() {
         Waiter<String> cancelled = add("a1", "a", TOKENS);
@@ -154,13 +154,13 @@
         assertThat(serveAll()).containsExactly("urgent1", "urgent2", "patient", "late");
     }
 
-    /** Callers of public routes have no tenant, and must not get more than tenants do. */
+    /** Callers of public routes have no workspace, and must not get more than workspaces do. */
     @Test
-    void requestsWithoutTenantShareAsOneTenant() {
-        Claim withoutTenant = new Claim(Optional.empty(), 1, false, FAR_MILLIS, TOKENS);
-        queue.enqueue("1", withoutTenant, 0);
-        queue.enqueue("2", withoutTenant, 0);
-        queue.enqueue("3", withoutTenant, 0);
+    void requestsWithoutWorkspaceShareAsOneWorkspace() {
+        Claim withoutWorkspace = new Claim(Optional.empty(), 1, false, FAR_MILLIS, TOKENS);
+        queue.enqueue("1", withoutWorkspace, 0);
+        queue.enqueue("2", withoutWorkspace, 0);
+        queue.enqueue("3", withoutWorkspace, 0);
         add("a1", "a", TOKENS);
         add("a2", "a", TOKENS);
 
@@ -169,7 +169,7 @@
 
     /** A request that waits for what it cannot get keeps its caller from trying elsewhere. */
     @Test
-    void requestsOfCrowdingTenantAreRejectedInFavorOfOthers() {
+    void requestsOfCrowdingWorkspaceAreRejectedInFavorOfOthers() {
         long now = learnInterval();
         for (int i = 1; i <= 3; i++) {
             Enqueued<String> crowding = queue.enqueue("a" + i, claim("a", 1, now + 410), now);
@@ -212,7 +212,7 @@
         assertThat(serveAll()).containsExactly("a1", "b1", "a3");
     }
 
-    /** Without turns, the patient tenant would wait for as long as urgent requests come. */
+    /** Without turns, the patient workspace would wait for as long as urgent requests come. */
     @Test
     void lessUrgentRequestsGetMoreThanQuarterOfTheRate() {
         int arrived = 0;
@@ -250,9 +250,9 @@
         }
     }
 
-    /** An entry must not get more of a full pool because one of its tenants sends more. */
+    /** An entry must not get more of a full pool because one of its workspaces sends more. */
     @Test
-    void demandCountsTenantsAndUrgency() {
+    void demandCountsWorkspacesAndUrgency() {
         Waiter<String> patient =
                 queue.enqueue("a1", claim("a", 1, FAR_MILLIS), 0).waiter().orElseThrow();
         queue.take(patient);
@@ -271,18 +271,18 @@
         assertThat(queue.demand(urgent)).isGreaterThan(queue.demand(patient));
     }
 
-    /** The state of tenants that have left must not grow with time, nor change the order. */
+    /** The state of workspaces that have left must not grow with time, nor change the order. */
     @Test
-    void tenantsAreForgottenWhenIdle() {
+    void workspacesAreForgottenWhenIdle() {
         for (int i = 0; i < 100; i++) {
-            queue.enqueue("x", claim("tenant" + i, 1, 1_000), 0);
+            queue.enqueue("x", claim("workspace" + i, 1, 1_000), 0);
             serve(0);
         }
-        Claim withoutTenant = new Claim(Optional.empty(), 1, false, FAR_MILLIS, TOKENS);
+        Claim withoutWorkspace = new Claim(Optional.empty(), 1, false, FAR_MILLIS, TOKENS);
         long later = 60_000;
-        Waiter<String> first = queue.enqueue("1", withoutTenant, later).waiter().orElseThrow();
-        queue.enqueue("2", withoutTenant, later);
-        queue.enqueue("3", withoutTenant, later);
+        Waiter<String> first = queue.enqueue("1", withoutWorkspace, later).waiter().orElseThrow();
+        queue.enqueue("2", withoutWorkspace, later);
+        queue.enqueue("3", withoutWorkspace, later);
         queue.take(first);
 
         assertThat(queue.isYielding()).isFalse();
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/ArrivalOrderQueue.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/ArrivalOrderQueue.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 
 /**
- * The order and the rejections of {@link AdmissionQueue} before it had tenants: priority, then
- * arrival. The baseline of the replays, and what deployments without tenants must still get.
+ * The order and the rejections of {@link AdmissionQueue} before it had workspaces: priority, then
+ * arrival. The baseline of the replays, and what deployments without workspaces must still get.
  *
  * @param <T> the type of the queued items
  */
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/FairnessLoad.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/FairnessLoad.java
@@ -12,14 +12,14 @@
  * A load pattern of the streams of the ticketing deployment.
  *
  * @param name the load in words
- * @param tenants the tenants
+ * @param workspaces the workspaces
  * @param entries the number of entries
  * @param capacityPerSecond the streams that the pool can serve
  * @param burstMillis the length of the burst, during which results are measured
  */
 record FairnessLoad(
         String name,
-        List<Tenant> tenants,
+        List<Workspace> workspaces,
         int entries,
         double capacityPerSecond,
         long burstMillis) {
@@ -29,23 +29,23 @@
 
     private static final int ENTRIES = 28;
     private static final long BURST_MILLIS = 6_500;
-    private static final int TENANTS = 16;
+    private static final int WORKSPACES = 16;
     private static final double MEAN_TOKENS = 3_267;
     private static final double MEAN_STREAM_SECONDS = 3.5;
     private static final int MAXIMUM_ATTEMPTS = 40;
 
     /**
-     * A tenant.
+     * A workspace.
      *
      * @param share its part of the usual arrivals
      * @param burstFactor its arrivals in the burst, relative to the usual ones
      * @param firstPriority the priority of its urgent streams; its patient ones follow
      * @param behavior what its callers do when they are refused
      */
-    record Tenant(double share, double burstFactor, int firstPriority, Behavior behavior) {
+    record Workspace(double share, double burstFactor, int firstPriority, Behavior behavior) {
 
-        Tenant withBehavior(Behavior other) {
-            return new Tenant(share, burstFactor, firstPriority, other);
+        Workspace withBehavior(Behavior other) {
+            return new Workspace(share, burstFactor, firstPriority, other);
         }
     }
 
@@ -89,29 +89,29 @@
     }
 
     FairnessLoad withEntries(int other) {
-        return new FairnessLoad(name, tenants, other, capacityPerSecond, burstMillis);
+        return new FairnessLoad(name, workspaces, other, capacityPerSecond, burstMillis);
     }
 
     FairnessLoad withBurstMillis(long other) {
-        return new FairnessLoad(name, tenants, entries, capacityPerSecond, other);
+        return new FairnessLoad(name, workspaces, entries, capacityPerSecond, other);
     }
 
-    /** Sixteen tenants with sizes by Zipf's law, some of which send more in the burst. */
-    static FairnessLoad hotTenants(String name, double factor, List<Integer> hot) {
+    /** Sixteen workspaces with sizes by Zipf's law, some of which send more in the burst. */
+    static FairnessLoad hotWorkspaces(String name, double factor, List<Integer> hot) {
         double[] shares = zipfShares();
         return new FairnessLoad(
                 name,
-                tenants(shares, tenant -> hot.contains(tenant), factor, 0),
+                workspaces(shares, workspace -> hot.contains(workspace), factor, 0),
                 ENTRIES,
                 1.15 * USUAL_PER_SECOND,
                 BURST_MILLIS);
     }
 
-    /** All tenants send more in the burst, to a pool that suffices for the usual load. */
+    /** All workspaces send more in the burst, to a pool that suffices for the usual load. */
     static FairnessLoad generalBurst(String name, double factor) {
         return new FairnessLoad(
                 name,
-                tenants(zipfShares(), tenant -> true, factor, 0),
+                workspaces(zipfShares(), workspace -> true, factor, 0),
                 ENTRIES,
                 USUAL_PER_SECOND,
                 BURST_MILLIS);
@@ -121,46 +121,47 @@
     static FairnessLoad fullPool(String name, double overload) {
         return new FairnessLoad(
                 name,
-                tenants(zipfShares(), tenant -> false, 1, 0),
+                workspaces(zipfShares(), workspace -> false, 1, 0),
                 ENTRIES,
                 USUAL_PER_SECOND / overload,
                 BURST_MILLIS);
     }
 
-    /** Three large tenants are more urgent than the others and alone fill the pool. */
-    static FairnessLoad urgentTenants(String name, double factor) {
+    /** Three large workspaces are more urgent than the others and alone fill the pool. */
+    static FairnessLoad urgentWorkspaces(String name, double factor) {
         return new FairnessLoad(
                 name,
-                tenants(zipfShares(), tenant -> tenant < 3, factor, 2),
+                workspaces(zipfShares(), workspace -> workspace < 3, factor, 2),
                 ENTRIES,
                 USUAL_PER_SECOND,
                 BURST_MILLIS);
     }
 
-    /** A burst of pairs of equal tenants; the second of each pair may behave differently. */
+    /** A burst of pairs of equal workspaces; the second of each pair may behave differently. */
     static FairnessLoad pairs(String name, Behavior first, Behavior second) {
         double[] zipf = zipfShares();
-        double[] shares = IntStream.range(0, TENANTS).mapToDouble(i -> zipf[i / 2 * 2]).toArray();
+        double[] shares =
+                IntStream.range(0, WORKSPACES).mapToDouble(i -> zipf[i / 2 * 2]).toArray();
         double sum = DoubleStream.of(shares).sum();
         double[] normalized = DoubleStream.of(shares).map(share -> share / sum).toArray();
-        List<Tenant> tenants = new ArrayList<>();
-        for (Tenant tenant : tenants(normalized, unused -> true, 2, 0)) {
-            tenants.add(tenant.withBehavior(tenants.size() % 2 == 0 ? first : second));
+        List<Workspace> workspaces = new ArrayList<>();
+        for (Workspace workspace : workspaces(normalized, unused -> true, 2, 0)) {
+            workspaces.add(workspace.withBehavior(workspaces.size() % 2 == 0 ? first : second));
         }
-        return new FairnessLoad(name, tenants, ENTRIES, USUAL_PER_SECOND, BURST_MILLIS);
+        return new FairnessLoad(name, workspaces, ENTRIES, USUAL_PER_SECOND, BURST_MILLIS);
     }
 
     private static double[] zipfShares() {
-        double sum = IntStream.rangeClosed(1, TENANTS).mapToDouble(rank -> 1.0 / rank).sum();
-        return IntStream.rangeClosed(1, TENANTS).mapToDouble(rank -> 1 / (rank * sum)).toArray();
+        double sum = IntStream.rangeClosed(1, WORKSPACES).mapToDouble(rank -> 1.0 / rank).sum();
+        return IntStream.rangeClosed(1, WORKSPACES).mapToDouble(rank -> 1 / (rank * sum)).toArray();
     }
 
-    private static List<Tenant> tenants(
+    private static List<Workspace> workspaces(
             double[] shares, IntPredicate hot, double hotFactor, int otherPriority) {
         return IntStream.range(0, shares.length)
                 .mapToObj(
                         i ->
-                                new Tenant(
+                                new Workspace(
                                         shares[i],
                                         hot.test(i) ? hotFactor : 1,
                                         hot.test(i) ? 0 : otherPriority,
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/FairnessReplay.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/FairnessReplay.java
@@ -73,16 +73,16 @@
     /**
      * A request of a caller, which it may send several times.
      *
-     * @param tenant the index of its tenant
+     * @param workspace the index of its workspace
      * @param kind its kind
-     * @param priority its rank among tenants and routes
+     * @param priority its rank among workspaces and routes
      * @param entry the index of the entry to which its caller is bound
      * @param tokens what it holds in the pool
      * @param holdMillis how long it holds them
      * @param firstMillis when the caller sent it first
      */
     record Request(
-            int tenant,
+            int workspace,
             Kind kind,
             int priority,
             int entry,
@@ -109,7 +109,7 @@
         }
     }
 
-    /** Returns what the tenants of a load get, summed over several seeds. */
+    /** Returns what the workspaces of a load get, summed over several seeds. */
     static FairnessReport replay(FairnessLoad load, Order order, int seeds) {
         FairnessReport report = new FairnessReport(load);
         for (long seed = 1; seed <= seeds; seed++) {
@@ -149,18 +149,18 @@
     }
 
     private void addArrivals() {
-        for (int tenant = 0; tenant < load.tenants().size(); tenant++) {
-            FairnessLoad.Tenant sender = load.tenants().get(tenant);
+        for (int workspace = 0; workspace < load.workspaces().size(); workspace++) {
+            FairnessLoad.Workspace sender = load.workspaces().get(workspace);
             int callers = (int) Math.ceil(sender.share() * CALLERS_PER_ENTRY * entries.size());
             int[] entryOfCaller = arrivalRandom.ints(callers, 0, entries.size()).toArray();
             for (Kind kind : Kind.values()) {
-                addArrivals(tenant, kind, entryOfCaller);
+                addArrivals(workspace, kind, entryOfCaller);
             }
         }
     }
 
-    private void addArrivals(int tenant, Kind kind, int[] entryOfCaller) {
-        FairnessLoad.Tenant sender = load.tenants().get(tenant);
+    private void addArrivals(int workspace, Kind kind, int[] entryOfCaller) {
+        FairnessLoad.Workspace sender = load.workspaces().get(workspace);
         double mostPerSecond =
                 sender.share() * load.usualPerSecond(kind) * Math.max(1, sender.burstFactor());
         double now = 0;
@@ -172,7 +172,7 @@
             }
             Request request =
                     new Request(
-                            tenant,
+                            workspace,
                             kind,
                             sender.firstPriority() + kind.ordinal(),
                             entryOfCaller[arrivalRandom.nextInt(entryOfCaller.length)],
@@ -222,8 +222,8 @@
         if (isMeasured(request.firstMillis())) {
             report.of(request).recordRejection();
         }
-        load.tenants()
-                .get(request.tenant())
+        load.workspaces()
+                .get(request.workspace())
                 .behavior()
                 .returnMillis(
                         attempt.number(),
@@ -305,7 +305,7 @@
             Request request = attempt.request();
             Claim claim =
                     new Claim(
-                            Optional.of("tenant-" + request.tenant()),
+                            Optional.of("workspace-" + request.workspace()),
                             request.priority(),
                             false,
                             giveUpMillis,
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/FairnessReport.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/FairnessReport.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 import java.util.function.BiPredicate;
 
-/** What the tenants got of the requests that they first sent during a burst. */
+/** What the workspaces got of the requests that they first sent during a burst. */
 final class FairnessReport {
 
     private final FairnessLoad load;
@@ -14,8 +14,8 @@
 
     FairnessReport(FairnessLoad load) {
         this.load = load;
-        load.tenants()
-                .forEach(tenant -> outcomes.add(new Outcome[] {new Outcome(), new Outcome()}));
+        load.workspaces()
+                .forEach(workspace -> outcomes.add(new Outcome[] {new Outcome(), new Outcome()}));
     }
 
     /** Counts of requests; a request that is sent again is one request. */
@@ -80,7 +80,7 @@
     }
 
     Outcome of(FairnessReplay.Request request) {
-        return outcomes.get(request.tenant())[request.kind().ordinal()];
+        return outcomes.get(request.workspace())[request.kind().ordinal()];
     }
 
     void recordGrantedTokens(long tokens) {
@@ -91,13 +91,13 @@
         return grantedTokens;
     }
 
-    /** Returns the sum over the tenants and kinds that match. */
+    /** Returns the sum over the workspaces and kinds that match. */
     Outcome sum(BiPredicate<Integer, FairnessReplay.Kind> predicate) {
         Outcome sum = new Outcome();
-        for (int tenant = 0; tenant < outcomes.size(); tenant++) {
+        for (int workspace = 0; workspace < outcomes.size(); workspace++) {
             for (FairnessReplay.Kind kind : FairnessReplay.Kind.values()) {
-                if (predicate.test(tenant, kind)) {
-                    sum.add(outcomes.get(tenant)[kind.ordinal()]);
+                if (predicate.test(workspace, kind)) {
+                    sum.add(outcomes.get(workspace)[kind.ordinal()]);
                 }
             }
         }
@@ -105,15 +105,15 @@
     }
 
     Outcome all() {
-        return sum((tenant, kind) -> true);
+        return sum((workspace, kind) -> true);
     }
 
-    Outcome ofTenant(int wanted) {
-        return sum((tenant, kind) -> tenant == wanted);
+    Outcome ofWorkspace(int wanted) {
+        return sum((workspace, kind) -> workspace == wanted);
     }
 
     Outcome ofKind(FairnessReplay.Kind wanted) {
-        return sum((tenant, kind) -> kind == wanted);
+        return sum((workspace, kind) -> kind == wanted);
     }
 
     /** Prints the results of a baseline and of this report beside each other. */
@@ -126,15 +126,15 @@
             print(kind.name(), baseline.ofKind(kind), ofKind(kind));
         }
         for (int i = 0; i < outcomes.size(); i++) {
-            FairnessLoad.Tenant tenant = load.tenants().get(i);
+            FairnessLoad.Workspace workspace = load.workspaces().get(i);
             String name =
                     String.format(
                             Locale.ROOT,
-                            "tenant %2d, %4.1f %% x %.1f",
+                            "workspace %2d, %4.1f %% x %.1f",
                             i,
-                            100 * tenant.share(),
-                            tenant.burstFactor());
-            print(name, baseline.ofTenant(i), ofTenant(i));
+                            100 * workspace.share(),
+                            workspace.burstFactor());
+            print(name, baseline.ofWorkspace(i), ofWorkspace(i));
             for (FairnessReplay.Kind kind : FairnessReplay.Kind.values()) {
                 int row = kind.ordinal();
                 print("  " + kind, baseline.outcomes.get(i)[row], outcomes.get(i)[row]);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/CreditLimitsTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/CreditLimitsTest.java
@@ -36,7 +36,7 @@
         assertThat(28 * limits.localCapTokens(28)).isLessThanOrEqualTo(limits.poolCapTokens());
     }
 
-    /** Guards against a slack that gives a tenant with a low rate hours of credit. */
+    /** Guards against a slack that gives a workspace with a low rate hours of credit. */
     @ParameterizedTest
     @CsvSource({"1", "10", "100"})
     void storedCreditAccruesInAFewWindows(double rate) {
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/QuotaBoundTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/QuotaBoundTest.java
@@ -1,6 +1,6 @@
 package dev.foxtailshed.kernel.direct.quota;
 
-import static dev.foxtailshed.kernel.direct.quota.QuotaSimulation.TENANT;
+import static dev.foxtailshed.kernel.direct.quota.QuotaSimulation.WORKSPACE;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.foxtailshed.kernel.direct.quota.QuotaSimulation.Entry;
@@ -130,7 +130,7 @@
         demand(simulation, LARGE, TOKENS);
         freeze(simulation, 0.1);
         TokenQuota lower = SMALLEST.quota();
-        tell(simulation, 12_000, Map.of(TENANT, lower));
+        tell(simulation, 12_000, Map.of(WORKSPACE, lower));
 
         simulation.runUntil(END_MILLIS);
 
@@ -140,14 +140,15 @@
         assertBound(simulation, SMALLEST, lower, fromMillis, Failure.FREEZES);
     }
 
-    /** Guards against tenants that get the credit of a new process each time they come back. */
+    /** Guards against workspaces that get the credit of a new process each time they come back. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
-    void removedAndAddedTenantHasNoMoreCredit(long seed) {
+    void removedAndAddedWorkspaceHasNoMoreCredit(long seed) {
         QuotaSimulation simulation = start(SMALLEST, seed);
         demand(simulation, SMALLEST, TOKENS);
-        Map<String, TokenQuota> quotas = Map.of(TENANT, SMALLEST.quota());
-        // A tenant without a limit is always admitted, so that the entries are asked nothing then.
+        Map<String, TokenQuota> quotas = Map.of(WORKSPACE, SMALLEST.quota());
+        // A workspace without a limit is always admitted, so that the entries are asked nothing
+        // then.
         for (long at = 20_000; at < 40_000; at += 500) {
             simulation.schedule(
                     at,
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/QuotaSimulation.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/QuotaSimulation.java
@@ -17,7 +17,8 @@
 import java.util.function.LongConsumer;
 
 /**
- * Simulates entries that exchange a tenant's credit, over a network that delays and loses messages.
+ * Simulates entries that exchange a workspace's credit, over a network that delays and loses
+ * messages.
  *
  * <p>Time is simulated, and all randomness comes from the seed. Entries can be killed, started,
  * frozen and partitioned, and each has its own view of the members and of their number. A request
@@ -27,7 +28,7 @@
  */
 final class QuotaSimulation {
 
-    static final String TENANT = "tenant";
+    static final String WORKSPACE = "workspace";
 
     private static final long PATIENCE_MILLIS = 300;
     private static final long TIMEOUT_MILLIS = 500;
@@ -155,7 +156,7 @@
 
         /** Returns whether the request is done with, admitted or not. */
         private boolean attempt(Request request) {
-            Decision decision = accounts.spend(TENANT, request.tokens, nowMillis);
+            Decision decision = accounts.spend(WORKSPACE, request.tokens, nowMillis);
             switch (decision.outcome()) {
                 case ADMITTED -> {
                     admit(request);
@@ -185,7 +186,7 @@
                 later(
                         incarnation,
                         1 + random.nextInt(50),
-                        () -> accounts.refund(TENANT, request.tokens, nowMillis));
+                        () -> accounts.refund(WORKSPACE, request.tokens, nowMillis));
             } else {
                 admitted++;
                 waitedMillis += nowMillis - request.arrivedMillis;
@@ -215,7 +216,7 @@
                             .filter(other -> other != request)
                             .mapToDouble(other -> other.tokens)
                             .sum();
-            accounts.nextDraw(TENANT, request.tokens, request.tokens + all, nowMillis)
+            accounts.nextDraw(WORKSPACE, request.tokens, request.tokens + all, nowMillis)
                     .ifPresent(this::send);
         }
 
@@ -243,7 +244,7 @@
                     at -> {
                         DrawReply reply =
                                 home.accounts.onDraw(
-                                        TENANT, draw.neededTokens(), draw.wantedTokens(), at);
+                                        WORKSPACE, draw.neededTokens(), draw.wantedTokens(), at);
                         home.sendCollects();
                         deliver(
                                 home,
@@ -280,7 +281,7 @@
                         peer.incarnation,
                         at -> {
                             Map<String, Double> tokens =
-                                    peer.accounts.onCollect(collect.tenants(), at);
+                                    peer.accounts.onCollect(collect.workspaces(), at);
                             deliver(
                                     peer,
                                     this,
@@ -328,7 +329,7 @@
     static QuotaSimulation started(long seed, int entries, TokenQuota quota, QuotaBounds bounds) {
         QuotaSimulation simulation = new QuotaSimulation(seed);
         for (int i = 0; i < entries; i++) {
-            simulation.add(bounds).quotas = Map.of(TENANT, quota);
+            simulation.add(bounds).quotas = Map.of(WORKSPACE, quota);
         }
         simulation.agree();
         simulation.entries.forEach(Entry::start);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/QuotaSteadyStateTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/quota/QuotaSteadyStateTest.java
@@ -38,7 +38,7 @@
     private static final Limit MANY_ENTRIES = new Limit(350, 47_000, 47_000, 2_380_000);
 
     /**
-     * Requests of one tenant.
+     * Requests of one workspace.
      *
      * @param connected the number of entries that get them
      * @param factor the demand in relation to the limit
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/tenant/TenantTableTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/workspace/WorkspaceTableTest.java
@@ -1,4 +1,4 @@
-package dev.foxtailshed.kernel.direct.tenant;
+package dev.foxtailshed.kernel.direct.workspace;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -12,16 +12,16 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Tests which tenant a key belongs to and what a request costs its tenant. */
-class TenantTableTest {
+/** Tests which workspace a key belongs to and what a request costs its workspace. */
+class WorkspaceTableTest {
 
-    private final Tenant first = tenant("first", Tenant.Unit.TOKENS);
-    private final Tenant second = tenant("second", Tenant.Unit.REQUESTS);
+    private final Workspace first = workspace("first", Workspace.Unit.TOKENS);
+    private final Workspace second = workspace("second", Workspace.Unit.REQUESTS);
 
     @Test
-    void keyBelongsToTheTenantThatHasIt() {
-        TenantTable table =
-                new TenantTable.Builder()
+    void keyBelongsToTheWorkspaceThatHasIt() {
+        WorkspaceTable table =
+                new WorkspaceTable.Builder()
                         .add(first, List.of("k1", "k2"))
                         .add(second, List.of())
                         .build();
@@ -32,11 +32,11 @@
         assertThat(table.problems()).isEmpty();
     }
 
-    /** Otherwise a request could count for the wrong tenant. */
+    /** Otherwise a request could count for the wrong workspace. */
     @Test
-    void keyOfTwoTenantsBelongsToNeither() {
-        TenantTable table =
-                new TenantTable.Builder()
+    void keyOfTwoWorkspacesBelongsToNeither() {
+        WorkspaceTable table =
+                new WorkspaceTable.Builder()
                         .add(first, List.of("shared-key", "k1"))
                         .add(second, List.of("shared-key", "k2"))
                         .build();
@@ -47,18 +47,19 @@
         assertThat(table.problems())
                 .singleElement()
                 .asString()
-                .startsWith("tenants first and second: expected different keys, found sha256:")
+                .startsWith("workspaces first and second: expected different keys, found sha256:")
                 .doesNotContain("shared-key");
     }
 
     @Test
     void malformedKeyIsReportedWithoutItsText() {
-        TenantTable table =
-                new TenantTable.Builder().add(first, List.of("with space", "k1")).build();
+        WorkspaceTable table =
+                new WorkspaceTable.Builder().add(first, List.of("with space", "k1")).build();
 
         assertThat(table.find(key("k1"))).contains(first);
         assertThat(table.problems())
-                .containsExactly("tenant first: expected keys of visible ASCII, found another one");
+                .containsExactly(
+                        "workspace first: expected keys of visible ASCII, found another one");
     }
 
     @ParameterizedTest
@@ -88,36 +89,38 @@
         "REQUESTS, true, 1",
         "REQUESTS, false, 1"
     })
-    void costFollowsTheUnit(Tenant.Unit unit, boolean hasCounts, double expected) {
+    void costFollowsTheUnit(Workspace.Unit unit, boolean hasCounts, double expected) {
         Optional<TokenCounts> counts =
                 hasCounts
                         ? Optional.of(new TokenCounts(3_000, 80, OptionalLong.of(20)))
                         : Optional.empty();
 
-        assertThat(tenant("t", unit).cost(counts)).isEqualTo(expected);
+        assertThat(workspace("t", unit).cost(counts)).isEqualTo(expected);
     }
 
     @ParameterizedTest
     @CsvSource({"1, 0, 0", "1, 2, 1", "2, 0, 2", "2, 2, 3", ", 0, 0", ", 2, 3"})
-    void priorityOfTheTenantGoesBeforeThatOfTheRoute(Integer tenant, int route, int rank) {
+    void priorityOfTheWorkspaceGoesBeforeThatOfTheRoute(Integer workspace, int route, int rank) {
         UrgencyRanks ranks =
                 new UrgencyRanks(
-                        List.of(tenant("a", 1), tenant("b", 2), tenant("c", 1)), List.of(0, 2, 2));
-        OptionalInt tenantPriority = tenant == null ? OptionalInt.empty() : OptionalInt.of(tenant);
+                        List.of(workspace("a", 1), workspace("b", 2), workspace("c", 1)),
+                        List.of(0, 2, 2));
+        OptionalInt workspacePriority =
+                workspace == null ? OptionalInt.empty() : OptionalInt.of(workspace);
 
-        assertThat(ranks.rank(tenantPriority, route)).isEqualTo(rank);
+        assertThat(ranks.rank(workspacePriority, route)).isEqualTo(rank);
     }
 
     private static ApiKey key(String text) {
         return ApiKey.parse(text).orElseThrow();
     }
 
-    private static Tenant tenant(String name, Tenant.Unit unit) {
-        return new Tenant(name, OptionalInt.empty(), Optional.empty(), unit, 200);
+    private static Workspace workspace(String name, Workspace.Unit unit) {
+        return new Workspace(name, OptionalInt.empty(), Optional.empty(), unit, 200);
     }
 
-    private static Tenant tenant(String name, int priority) {
-        return new Tenant(
-                name, OptionalInt.of(priority), Optional.empty(), Tenant.Unit.TOKENS, 200);
+    private static Workspace workspace(String name, int priority) {
+        return new Workspace(
+                name, OptionalInt.of(priority), Optional.empty(), Workspace.Unit.TOKENS, 200);
     }
 }
