Find the first entry in the order for a task

Cause: a task that one entry does for the others, such as keeping a tenant's credit, needs the address of the first entry in the order, not the rank of each. Change: EntryOrder.first. Result: EntryOrderTest (2) passes; first() agrees with rank().

--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/EntryOrder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/EntryOrder.java
@@ -1,6 +1,8 @@
 package dev.foxtailshed.kernel.direct;
 
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -26,6 +28,20 @@
         return (int) others.stream().filter(other -> weight(labels, other) > own).count();
     }
 
+    /**
+     * Returns the entry that comes before all others for a task.
+     *
+     * @param labels the names of the task, such as the name of a tenant
+     * @param entries the addresses of the entries
+     * @return the address of the first entry; empty if there are no entries
+     */
+    public static Optional<String> first(Set<String> labels, Collection<String> entries) {
+        return entries.stream()
+                .max(
+                        Comparator.<String>comparingLong(entry -> weight(labels, entry))
+                                .thenComparing(Comparator.naturalOrder()));
+    }
+
     private static long weight(Set<String> labels, String entry) {
         // The finalizer of SplitMix64; the hash of a set does not depend on its order.
         long hash = ((long) labels.hashCode() << Integer.SIZE) ^ entry.hashCode();
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/EntryOrderTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/EntryOrderTest.java
@@ -17,4 +17,14 @@
                     .containsExactlyInAnyOrder(0, 1, 2);
         }
     }
+
+    @Test
+    void firstEntryIsTheOneThatNoOtherComesBefore() {
+        List<String> entries = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1");
+        for (String part : List.of("a", "b", "c", "d")) {
+            String first = EntryOrder.first(Set.of(part), entries).orElseThrow();
+            assertThat(EntryOrder.rank(Set.of(part), first, entries)).isZero();
+        }
+        assertThat(EntryOrder.first(Set.of("a"), List.of())).isEmpty();
+    }
 }
