--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -31,9 +31,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Stream;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -111,6 +113,7 @@
             new ServerRateLimits(this::entryCount, id -> entryRank(Set.of(id)));
     private final CrashGuard crashGuard;
     private final CrashNotices crashNotices;
+    private final WorkspaceQuotas quotas;
     private final EntryMembership membership;
     private final DirectFlowFactory flows;
     private final StageCoordinator coordinator;
@@ -124,20 +127,8 @@
                         httpClient, () -> settings.get().storeAddress(), STORE_TIMEOUT_MILLIS);
         PeerExchange peers = new PeerExchange(httpClient, this::peerAddresses, random);
         view = new DeploymentView(platform, store, timer, loop, random, peers);
-        DirectContext context =
-                new DirectContext(
-                        platform,
-                        view,
-                        loop,
-                        timer,
-                        httpClient,
-                        new ServerHealthRegistry(),
-                        rateLimits,
-                        new WindowedRetryBudgets(name -> newRetryBudget()),
-                        requestBuffers,
-                        responseBuffers,
-                        new DirectRequestRecorder(registry, timer, view::servers),
-                        random);
+        quotas = newQuotas(SettingParsers.text(initialSettings.controlAddress()));
+        DirectContext context = newContext(platform);
         EngineControlClient controlClient = new EngineControlClient(context);
         crashNotices = newCrashNotices();
         crashGuard =
@@ -173,6 +164,7 @@
                         peers,
                         notices,
                         crashNotices,
+                        quotas.exchange(),
                         new MetricsTextEndpoint(registry),
                         new MetricsEndpoint(registry)));
     }
@@ -202,6 +194,8 @@
             BackendHttpClients.disableResponseProcessing(httpClient);
             // Subscribes to the view before it has anything to report.
             flows.start();
+            view.subscribe(quotas::configure);
+            quotas.start();
             loopMonitors.add("entry", loop);
             loopMonitors.addSelectors("client", httpClient);
             view.start();
@@ -250,6 +244,48 @@
         return List.copyOf(all);
     }
 
+    private WorkspaceQuotas newQuotas(String self) {
+        return new WorkspaceQuotas(
+                timer,
+                loop,
+                httpClient,
+                self,
+                () -> quotaConfiguration(self),
+                new QuotaRecorder(registry, timer));
+    }
+
+    private DirectContext newContext(HostingPlatform platform) {
+        return new DirectContext(
+                platform,
+                view,
+                loop,
+                timer,
+                httpClient,
+                new ServerHealthRegistry(),
+                rateLimits,
+                new WindowedRetryBudgets(name -> newRetryBudget()),
+                quotas,
+                requestBuffers,
+                responseBuffers,
+                new DirectRequestRecorder(registry, timer, view::servers),
+                random);
+    }
+
+    private WorkspaceQuotas.Configuration quotaConfiguration(String self) {
+        Optional<Integer> count = membership.count();
+        List<String> members =
+                Stream.concat(
+                                Stream.of(self),
+                                membership.otherAddresses().stream().map(SettingParsers::text))
+                        .sorted()
+                        .toList();
+        return new WorkspaceQuotas.Configuration(
+                view.routes(),
+                settings.get().quotaBounds(),
+                count.map(OptionalInt::of).orElse(OptionalInt.empty()),
+                members);
+    }
+
     private void recordNotice(StageChangeNotices.Notice notice) {
         coordinator.recordNotice(notice);
     }
--- /dev/null
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/QuotaRecorder.java
@@ -0,0 +1,95 @@
+package dev.foxtailshed.daemon.internal.direct;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.foxtailshed.daemon.internal.events.EventCode;
+import dev.foxtailshed.daemon.internal.events.EventLog;
+import dev.foxtailshed.daemon.internal.events.Field;
+import dev.foxtailshed.kernel.TimerService;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Updates the metrics of workspaces' quotas and logs which workspaces are at their limit. */
+final class QuotaRecorder {
+
+    /**
+     * Workspaces with metrics of their own; the others share one set, to bound the metrics' size.
+     */
+    private static final int MAXIMUM_WORKSPACES = 64;
+
+    private static final String OTHERS = "others";
+
+    /** Period in which a workspace that stays at its limit is logged once. */
+    private static final long LIMIT_PERIOD_MILLIS = 1_000;
+
+    private final MetricRegistry registry;
+    private final TimerService timer;
+    private final Map<String, Period> periods = new HashMap<>();
+
+    /** The rejections of a workspace since it was last logged. */
+    private static final class Period {
+        private long startMillis = Long.MIN_VALUE / 2;
+        private long rejected;
+        private double tokens;
+    }
+
+    QuotaRecorder(MetricRegistry registry, TimerService timer) {
+        this.registry = registry;
+        this.timer = timer;
+    }
+
+    void recordAdmission(String workspace, double tokens, long waitedMillis) {
+        String label = label(workspace);
+        registry.counter("quota.admitted." + label).inc();
+        registry.counter("quota.tokens." + label).inc((long) tokens);
+        registry.timer("quota.waited." + label).update(waitedMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Records a request that was rejected; logs its workspace if it was not logged recently. */
+    void recordRejection(String workspace, double tokens, long creditAfterMillis) {
+        registry.counter("quota.rejected." + label(workspace)).inc();
+        Period period = periods.computeIfAbsent(label(workspace), key -> new Period());
+        period.rejected++;
+        period.tokens += tokens;
+        long nowMillis = timer.nowMillis();
+        if (nowMillis - period.startMillis < LIMIT_PERIOD_MILLIS) {
+            return;
+        }
+        EventLog.log(
+                EventCode.WORKSPACE_AT_LIMIT,
+                Field.of("workspace", workspace),
+                Field.of("rejected", period.rejected),
+                Field.of("rejectedTokens", (long) period.tokens),
+                Field.of("creditAfterMillis", creditAfterMillis));
+        period.startMillis = nowMillis;
+        period.rejected = 0;
+        period.tokens = 0;
+    }
+
+    void recordRefund(String workspace, double tokens) {
+        registry.counter("quota.refunded." + label(workspace)).inc((long) tokens);
+    }
+
+    /** Records the end of a draw; the tokens are empty if the draw or its reply was lost. */
+    void recordDraw(Optional<Double> tokens) {
+        String outcome = tokens.map(t -> t > 0 ? "granted" : "refused").orElse("lost");
+        registry.counter("quota.draws." + outcome).inc();
+    }
+
+    void recordCollection(boolean answered) {
+        registry.counter("quota.collections." + (answered ? "answered" : "lost")).inc();
+    }
+
+    /** Returns the name under which a workspace is counted. */
+    private String label(String workspace) {
+        if (periods.containsKey(workspace)) {
+            return workspace;
+        }
+        if (periods.size() >= MAXIMUM_WORKSPACES) {
+            return OTHERS;
+        }
+        periods.put(workspace, new Period());
+        return workspace;
+    }
+}
