--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Builds the stand-ins and clients of cases 6 to 10; the deploy file's build comes first.
+set -eu
+cd "$(dirname "$0")/.."
+[ -f target/foxtailshed.jar ] || { echo "review/build-2.sh: build the deploy file first" >&2; exit 1; }
+rm -rf target/review-2
+mkdir -p target/review-2
+javac -nowarn -cp target/foxtailshed.jar -d target/review-2 review/standins-2/*.java
