Add review case 10: the entry of a server that restarted is ignored

The case: a server restarts under its id after the clock of its machine has jumped back, and drains later.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run-2.sh" 10 RestartWithClockBack
