--- a/review/10/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec sh "$(dirname "$0")/../run-2.sh" 10 RestartWithClockBack
--- a/review/standins-2/AppServer.java
+++ b/review/standins-2/AppServer.java
@@ -17,41 +17,14 @@
 
     private volatile boolean stopped;
 
-    /** The start of the server by the clock of its machine. */
-    private final long bornMillis;
+    private final long bornMillis = System.currentTimeMillis();
 
     AppServer(String id, String service, long workMillis, CaseRecord record) throws IOException {
-        this(id, service, workMillis, record, 0);
-    }
-
-    /** Starts a server on a machine whose clock is ahead. */
-    AppServer(
-            String id, String service, long workMillis, CaseRecord record, long clockAheadMillis)
-            throws IOException {
-        this(
-                id,
-                service,
-                workMillis,
-                record,
-                0,
-                System.currentTimeMillis() + clockAheadMillis);
-    }
-
-    private AppServer(
-            String id, String service, long workMillis, CaseRecord record, int port, long bornMillis)
-            throws IOException {
         this.id = id;
         this.service = service;
         this.workMillis = workMillis;
         this.record = record;
-        this.bornMillis = bornMillis;
-        this.http = new Http.Server(port, this::handle);
-    }
-
-    /** Starts the server again under its id and at its address, when the clock is right. */
-    AppServer startAgain() throws IOException {
-        return new AppServer(
-                id, service, workMillis, record, http.port(), System.currentTimeMillis());
+        this.http = new Http.Server(this::handle);
     }
 
     String address() {
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -96,22 +96,11 @@
         private volatile boolean stopped;
 
         Server(Handler handler) throws IOException {
-            this(0, handler);
-        }
-
-        /** Creates a server on a port that an earlier server has left, 0 for a free one. */
-        Server(int port, Handler handler) throws IOException {
             this.handler = handler;
-            listener = new ServerSocket();
-            listener.setReuseAddress(true);
-            listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 1024);
+            listener = new ServerSocket(0, 1024, InetAddress.getByName("127.0.0.1"));
             start("accept", this::accept);
         }
 
-        int port() {
-            return listener.getLocalPort();
-        }
-
         String address() {
             return "127.0.0.1:" + listener.getLocalPort();
         }
