Find parts of prompts that crash servers within their answers

Callers saw their streams broken off: requests that have one part of the prompt in common, and are otherwise no two alike, each crashed a model server with the first event out, for as long as they came. Cause: CrashTracker handed on broken runs without the parts of their prompts, since harmless requests that run at the same time have parts in common with what crashes the server, and BrokenRunPatternFinder left parts out.

Change: broken runs keep their parts. PartProgress remembers how far answers to prompts with a part got, and CrashingPartFinder blames a part if different requests with it were broken off at the same event and no answer that began later got further. Such an answer clears the part at all entries. The delayed announcements of CrashGuard are ClearanceAnnouncer now, used for both kinds. The field of E5012 is described more widely.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashGuard.java
@@ -15,7 +15,6 @@
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.Base64;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -32,12 +31,6 @@
  */
 final class CrashGuard implements CrashDetector.Listener, EntryMembership.Attachment {
 
-    /**
-     * Longest time until other entries are told that traits are no longer suspected; enough that
-     * one of them does so first.
-     */
-    private static final long MAXIMUM_ANNOUNCE_DELAY_MILLIS = 200;
-
     /** Crashes that suffice for another entry to find a pattern. */
     private static final int CRASHES_PER_PATTERN = 5;
 
@@ -66,8 +59,11 @@
     private final CrashDetector detector;
     private final CrashingTraits crashingTraits = new CrashingTraits();
 
-    /** Cleared traits that the other entries have not been told of. */
-    private final List<Set<RequestTrait>> unannounced = new ArrayList<>();
+    /** Announces traits with which an answer has begun. */
+    private final ClearanceAnnouncer beganAnnouncer;
+
+    /** Announces parts of prompts to which an answer got further than those of crashed servers. */
+    private final ClearanceAnnouncer progressAnnouncer;
 
     private volatile Evidence evidence = new Evidence(List.of(), 0);
 
@@ -91,6 +87,16 @@
         this.notices = notices;
         this.trialRank = trialRank;
         this.detector = new CrashDetector(context, controlClient, this);
+        this.beganAnnouncer =
+                new ClearanceAnnouncer(
+                        context,
+                        (traits, ageMillis) ->
+                                notices.accept(new CrashNotice.Began(traits, ageMillis)));
+        this.progressAnnouncer =
+                new ClearanceAnnouncer(
+                        context,
+                        (traits, ageMillis) ->
+                                notices.accept(new CrashNotice.Ended(traits, ageMillis)));
     }
 
     /** Notices that let another entry find the patterns in force, with the time of their ages. */
@@ -148,31 +154,37 @@
         return trial ? Admission.TRIAL : Admission.BLOCKED;
     }
 
-    /**
-     * Records the beginning of the answer to a request.
-     *
-     * <p>If it clears traits of a suspicion, the other entries are told after a short random time,
-     * unless another entry tells them first. So a trait that many requests have is not announced by
-     * each entry.
-     */
+    /** Records the beginning of the answer to a request, and tells others if that clears it. */
     void recordStart(RequestTraits request) {
         long beganMillis = nowMillis();
-        Set<RequestTrait> cleared = new HashSet<>(applyStart(request.traits(), beganMillis));
+        Set<RequestTrait> cleared = applyStart(request.traits(), beganMillis);
         if (!cleared.isEmpty()) {
-            announceLater(cleared, beganMillis);
+            beganAnnouncer.announce(cleared, beganMillis);
         }
     }
 
-    private void announceLater(Set<RequestTrait> cleared, long beganMillis) {
-        unannounced.add(cleared);
-        long delayMillis = (long) (MAXIMUM_ANNOUNCE_DELAY_MILLIS * context.random().getAsDouble());
-        context.schedule(delayMillis, () -> announce(cleared, beganMillis));
+    /**
+     * Records how far the answer to a request got, and tells others if that clears parts of its
+     * prompt.
+     *
+     * @param request the traits of the request
+     * @param events the events of the answer that have arrived
+     * @param beganMillis when the first of them arrived
+     */
+    void recordProgress(RequestTraits request, int events, long beganMillis) {
+        List<CrashPattern> before = crashingTraits.patterns();
+        announceProgress(
+                crashingTraits.recordProgress(request.traits(), events, beganMillis, nowMillis()),
+                before);
     }
 
-    private void announce(Set<RequestTrait> cleared, long beganMillis) {
-        unannounced.removeIf(other -> other == cleared);
-        if (!cleared.isEmpty()) {
-            notices.accept(new CrashNotice.Began(List.copyOf(cleared), nowMillis() - beganMillis));
+    /** Announces the parts that an answer clears, with the times before which they are. */
+    private void announceProgress(Set<RequestTrait> cleared, List<CrashPattern> before) {
+        recordCleared(cleared, before);
+        for (RequestTrait part : cleared) {
+            crashingTraits
+                    .clearedMillis(part)
+                    .ifPresent(millis -> progressAnnouncer.announce(Set.of(part), millis));
         }
     }
 
@@ -199,9 +211,18 @@
                 .noneMatch(other -> other.incarnation().equals(server.incarnation()));
     }
 
-    /** Records that a request was answered completely, and tells others if that clears it. */
-    void recordEnd(RequestTraits request) {
+    /**
+     * Records that a request was answered completely, and tells others if that clears it.
+     *
+     * @param request the traits of the request
+     * @param beganMillis when the answer began
+     */
+    void recordEnd(RequestTraits request, long beganMillis) {
         long endedMillis = nowMillis();
+        List<CrashPattern> before = crashingTraits.patterns();
+        announceProgress(
+                crashingTraits.recordCompletion(request.traits(), beganMillis, endedMillis),
+                before);
         Set<RequestTrait> cleared = applyEnd(request.traits(), endedMillis);
         if (!cleared.isEmpty()) {
             announceEnd(cleared, endedMillis);
@@ -245,9 +266,14 @@
                     new ServerCrash(
                             crashed.server(), observedMillis, crashed.requests(), crashed.runs()));
         } else if (notice instanceof CrashNotice.Began began) {
-            unannounced.forEach(cleared -> began.traits().forEach(cleared::remove));
+            beganAnnouncer.onAnnounced(began.traits());
             applyStart(began.traits(), observedMillis);
         } else if (notice instanceof CrashNotice.Ended ended) {
+            progressAnnouncer.onAnnounced(ended.traits());
+            List<CrashPattern> before = crashingTraits.patterns();
+            recordCleared(
+                    crashingTraits.recordCompletion(ended.traits(), observedMillis, nowMillis()),
+                    before);
             applyEnd(ended.traits(), observedMillis);
         }
     }
@@ -274,10 +300,13 @@
         }
         crashingTraits
                 .findEarlierAnswers(crash)
-                .forEach((trait, began) -> announceLater(new HashSet<>(Set.of(trait)), began));
+                .forEach((trait, began) -> beganAnnouncer.announce(Set.of(trait), began));
         crashingTraits
                 .findEarlierEnds(crash)
                 .forEach((trait, ended) -> announceEnd(Set.of(trait), ended));
+        crashingTraits
+                .findEarlierProgress(crash)
+                .forEach((part, millis) -> progressAnnouncer.announce(Set.of(part), millis));
         updateEvidence();
     }
 
@@ -331,12 +360,13 @@
                                                         .anyMatch(pattern.traits()::contains))
                                 .limit(REQUESTS_PER_CRASH)
                                 .toList();
-                requests.forEach(run -> seenTraits.addAll(run.request().traits()));
                 List<BrokenRun> runs =
                         crash.runs().stream()
                                 .filter(run -> run.request().containsAll(pattern.traits()))
                                 .limit(REQUESTS_PER_CRASH)
                                 .toList();
+                requests.forEach(run -> seenTraits.addAll(run.request().traits()));
+                runs.forEach(run -> seenTraits.addAll(run.request().traits()));
                 crashes.add(
                         new CrashNotice.Crashed(
                                 crash.server(), requests, runs, nowMillis - crash.crashedMillis()));
@@ -351,6 +381,13 @@
                                     all.add(
                                             new CrashNotice.Began(
                                                     List.of(trait), nowMillis - began)));
+            crashingTraits
+                    .clearedMillis(trait)
+                    .ifPresent(
+                            cleared ->
+                                    all.add(
+                                            new CrashNotice.Ended(
+                                                    List.of(trait), nowMillis - cleared)));
         }
         all.addAll(crashes);
         evidence = new Evidence(List.copyOf(all), nowMillis);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
@@ -56,10 +56,12 @@
     }
 
     /**
-     * A request was answered completely, so that it did not crash a server that was answering it.
+     * A request was answered completely, so that it did not crash a server that was answering it;
+     * or an answer to a prompt with a part got further than those that crashes broke off.
      *
      * @param traits the traits that are no longer suspected
-     * @param ageMillis how long ago the answer ended
+     * @param ageMillis how long ago the answer ended; for parts of prompts, how long ago the time
+     *     was before which they caused no crash
      */
     record Ended(List<RequestTrait> traits, long ageMillis) implements CrashNotice {
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashTracker.java
@@ -5,6 +5,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.suspects.BrokenRun;
 import dev.foxtailshed.kernel.suspects.RequestTraits;
+import dev.foxtailshed.kernel.suspects.RunProgress;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -20,6 +21,7 @@
     private Optional<RequestTraits> traits = Optional.empty();
     private OptionalLong trialMillis = OptionalLong.empty();
     private boolean answered;
+    private RunProgress progress = new RunProgress();
 
     CrashTracker(CrashGuard guard, TimerService timer, CallerRequest request) {
         this.guard = guard;
@@ -47,9 +49,30 @@
         }
     }
 
-    /** Records that a server has answered the request completely. */
-    void recordCompleteAnswer() {
-        guard.recordEnd(traits());
+    /** Records that the request is sent to a server. */
+    void recordAttemptStart() {
+        progress = new RunProgress();
+    }
+
+    /**
+     * Records the progress of the answer.
+     *
+     * @param events the events of this attempt that have arrived
+     */
+    void recordEvents(int events) {
+        if (progress.advance(events, timer.nowMillis())) {
+            guard.recordProgress(traits(), events, progress.beganMillis().getAsLong());
+        }
+    }
+
+    /**
+     * Records that a server has answered the request completely.
+     *
+     * @param durationMillis the time since the attempt was sent
+     */
+    void recordCompleteAnswer(long durationMillis) {
+        long sentMillis = timer.nowMillis() - durationMillis;
+        guard.recordEnd(traits(), progress.beganMillis().orElse(sentMillis));
     }
 
     /**
@@ -60,8 +83,7 @@
      * @param durationMillis the time since the attempt was sent
      */
     void recordBrokenRun(DirectServer server, int events, long durationMillis) {
-        guard.recordBrokenRun(
-                new BrokenRun(traits().wholeRequest(), events, durationMillis), server);
+        guard.recordBrokenRun(new BrokenRun(traits(), events, durationMillis), server);
     }
 
     /**
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -208,6 +208,7 @@
     final void recordAttemptStart(DirectServer server) {
         tried.add(server.incarnation());
         attempts++;
+        crashTracker.recordAttemptStart();
     }
 
     /**
@@ -224,7 +225,7 @@
         verdict = verdict.or(outcome.verdict());
         if (outcome == CallOutcome.ANSWERED) {
             recordAnswer();
-            crashTracker.recordCompleteAnswer();
+            crashTracker.recordCompleteAnswer(call.elapsedMillis());
         } else if (!begun) {
             recordBrokenStart(call);
         } else if (call.isConnectionLost()) {
@@ -241,6 +242,11 @@
         crashTracker.recordAnswer();
     }
 
+    /** Records that events of the current attempt have arrived; the number is of all of them. */
+    final void recordEvents(int events) {
+        crashTracker.recordEvents(events);
+    }
+
     /** Records a call that ended before an answer began, in case its server has crashed. */
     final void recordBrokenStart(BackendCall call) {
         if (call.isConnectionLost()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StreamRelay.java
@@ -227,6 +227,7 @@
             hasEvents = true;
             listener.onFirstEvent(this);
         }
+        flow.recordEvents(splitter.eventCountOfRun());
     }
 
     @Override
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -103,7 +103,7 @@
     CRASH_PATTERN_REFUTED(
             5012,
             Level.INFO,
-            "An answer to a request with one of these traits has begun; it is not suspected."),
+            "An answer to a request with one of these traits shows that it is not to blame."),
     CRASH_PATTERN_MATCHED(
             5013,
             Level.INFO,
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingTraits.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,16 +15,17 @@
 
 /**
  * Decides which requests must not reach servers, since a trait of theirs crashes each server that
- * begins to answer them: a part of the prompt, or the request itself; or since the request itself
- * crashes each server at some event of the answer.
+ * begins to answer them, or gets to some event of the answer: a part of the prompt, or the request
+ * itself.
  *
  * <p>Example: <code>traits.recordCrash(crash, nowMillis); traits.findMatches(request)</code>.
  *
  * <p>Such requests come at all entries, so each entry sees only a few of the crashes. Entries
  * exchange the crashes and come to the same {@link CrashPattern} without a coordinator. A trait of
  * which an answer has begun after a crash did not cause it, if the request had no answer at the
- * time of the crash; a request that was being answered needs a complete answer for that. A pattern
- * ends when such an answer comes in spite of it: requests in flight may show that, and a trial is
+ * time of the crash; a request that was being answered needs a complete answer for that, and a part
+ * of its prompt an answer that gets further than those which the crash broke off. A pattern ends
+ * when such an answer comes in spite of it: requests in flight may show that, and a trial is
  * granted after a time that doubles with each crash. Not thread-safe.
  */
 public final class CrashingTraits {
@@ -51,12 +51,6 @@
     private static final int MAXIMUM_REQUESTS_PER_CRASH = 64;
     private static final int MAXIMUM_RUNS_PER_CRASH = 64;
 
-    /**
-     * Traits whose last start is remembered, for crashes that are reported late and for requests
-     * that were answered shortly before.
-     */
-    private static final int MAXIMUM_RECENT_STARTS = 4_096;
-
     /**
      * Time before a crash within which an answer shows that a whole request did not cause it. This
      * keeps requests that many callers send from being blamed while all servers of a service crash
@@ -70,13 +64,14 @@
     /** When answers to requests with the traits of the recorded crashes last began. */
     private final Map<RequestTrait, Long> startedMillis = new HashMap<>();
 
-    private final Map<RequestTrait, Long> recentStartsMillis = new RecentAnswers();
+    private final Map<RequestTrait, Long> recentStartsMillis = new RecentTraits<>();
 
     /** When the whole requests that the recorded crashes broke off were last answered. */
     private final Map<RequestTrait, Long> endedMillis = new HashMap<>();
 
-    private final Map<RequestTrait, Long> recentEndsMillis = new RecentAnswers();
+    private final Map<RequestTrait, Long> recentEndsMillis = new RecentTraits<>();
 
+    private final SuspectedParts suspectedParts = new SuspectedParts();
     private final Map<Set<RequestTrait>, Long> trialMillis = new HashMap<>();
     private volatile List<CrashPattern> patterns = List.of();
 
@@ -223,6 +218,60 @@
         return cleared;
     }
 
+    /**
+     * Records how far the answer to a request got, which shows that no part of its prompt crashes
+     * servers up to there.
+     *
+     * @param traits the traits of the request
+     * @param events the events that have arrived
+     * @param beganMillis when the first of them arrived
+     * @param nowMillis the current time
+     * @return the parts that had been suspected of several crashes, at least one of which they did
+     *     not cause
+     */
+    public Set<RequestTrait> recordProgress(
+            Collection<RequestTrait> traits, int events, long beganMillis, long nowMillis) {
+        Set<RequestTrait> cleared = suspectedParts.recordProgress(traits, events, beganMillis);
+        if (!cleared.isEmpty()) {
+            update(nowMillis);
+        }
+        return cleared;
+    }
+
+    /**
+     * Records that the answer to a request ended, so that no part of its prompt crashes servers.
+     *
+     * @param traits the traits of the request
+     * @param beganMillis when the answer began
+     * @param nowMillis the current time
+     * @return the parts, as {@link #recordProgress} returns them
+     */
+    public Set<RequestTrait> recordCompletion(
+            Collection<RequestTrait> traits, long beganMillis, long nowMillis) {
+        return recordProgress(traits, PartProgress.COMPLETE, beganMillis, nowMillis);
+    }
+
+    /**
+     * Returns the parts of prompts that a crash broke off for the second time, although they did
+     * not cause the crash before, which other entries may not know of.
+     *
+     * @param crash a recorded crash
+     * @return the parts and the times that {@link #recordCompletion} takes
+     */
+    public Map<RequestTrait, Long> findEarlierProgress(ServerCrash crash) {
+        return suspectedParts.findClearedOfFirstCrash(crash);
+    }
+
+    /**
+     * Returns the time before which no crash was caused by a part of prompts.
+     *
+     * @param part the part
+     * @return the time in milliseconds, empty if the part is not cleared of any crash
+     */
+    public OptionalLong clearedMillis(RequestTrait part) {
+        return suspectedParts.clearedMillis(part);
+    }
+
     /**
      * Returns the patterns that a request matches.
      *
@@ -308,7 +357,10 @@
     private List<CrashPattern> findPatterns(Set<RequestTrait> known) {
         List<CrashPattern> found =
                 new ArrayList<>(CrashPatternFinder.find(crashes, this::maySuspect, known));
-        for (CrashPattern pattern : BrokenRunPatternFinder.find(crashes, this::mayBlameRun)) {
+        List<CrashPattern> ofBrokenRuns =
+                new ArrayList<>(BrokenRunPatternFinder.find(crashes, this::mayBlameRun));
+        ofBrokenRuns.addAll(suspectedParts.update(crashes));
+        for (CrashPattern pattern : ofBrokenRuns) {
             if (found.stream().noneMatch(other -> other.traits().equals(pattern.traits()))) {
                 found.add(pattern);
             }
@@ -436,18 +488,4 @@
                         .limit(MAXIMUM_RUNS_PER_CRASH)
                         .toList());
     }
-
-    /** A map that evicts the traits that have not been answered for the longest time. */
-    private static final class RecentAnswers extends LinkedHashMap<RequestTrait, Long> {
-        private static final long serialVersionUID = 1L;
-
-        RecentAnswers() {
-            super(16, 0.75f, true);
-        }
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<RequestTrait, Long> eldest) {
-            return size() > MAXIMUM_RECENT_STARTS;
-        }
-    }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTraits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTraits.java
@@ -71,7 +71,17 @@
      * @return true for the first and the last part
      */
     boolean isOuterPart(int index) {
-        return isPart(index) && (index == 0 || !isPart(index + 1));
+        return isLastPart(index) || index == 0 && isPart(index);
+    }
+
+    /**
+     * Returns whether a trait of this request is the last part of its prompt.
+     *
+     * @param index the index of the trait
+     * @return true for the last part, also if it is the only one
+     */
+    boolean isLastPart(int index) {
+        return isPart(index) && !isPart(index + 1);
     }
 
     private boolean isPart(int index) {
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/ServerCrash.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/ServerCrash.java
@@ -3,6 +3,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import java.util.List;
 import java.util.Objects;
+import java.util.stream.Stream;
 
 /**
  * The crash of a server, and the requests that it broke off.
@@ -40,6 +41,15 @@
         this(server, crashedMillis, requests, List.of());
     }
 
+    /**
+     * Returns all that the crash broke off.
+     *
+     * @return the requests without a response, then those that the server was answering
+     */
+    List<BrokenRun> brokenWork() {
+        return Stream.concat(requests.stream(), runs.stream()).toList();
+    }
+
     /**
      * Returns whether this crash may have the same cause as an earlier one, whatever was sent to
      * the servers.
