Send nothing new to a server whose responses say that it leaves

Callers got 502 for requests that had run, or waited in vain: an entry without its store kept sending requests to a server until that exited, although each response of the server had said Server-Leaving. Cause: nothing read that header; an entry knew of a leaving server by its registration only.

Change: ServerDirectory.markLeaving excludes an incarnation for good. BackendCall and EngineControlClient read the statement from the head of each response of the server: runs, refusals, prefills and control calls. Those of another server, or to another request, say nothing. E2206 names the source. A reservation that is granted there is returned before the prompt is read. When no decode server is left, queued requests are refused at once; a plain request that finds no server of its service is told to come back after 1.5 s or more, at most a third of its time, as it is with model services.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/ServerProtocol.java
@@ -166,6 +166,8 @@
      * @param attemptId the id of the request that the response belongs to
      * @param requestLimit the requests per second that the server takes from all entries together,
      *     as it wrote them
+     * @param leaving whether the server states that it is leaving
+     * @param serverId the id of the server that responded, if it names it
      */
     record ResponseHead(
             boolean notRun,
@@ -173,7 +175,22 @@
             boolean wrongServer,
             boolean sealed,
             Optional<String> attemptId,
-            Optional<String> requestLimit) {}
+            Optional<String> requestLimit,
+            boolean leaving,
+            Optional<String> serverId) {
+
+        /**
+         * Returns whether a server states that it is leaving.
+         *
+         * @param expectedServerId the id of the server that the request was meant for
+         * @return false if another server has responded, whatever that one states
+         */
+        public boolean saysLeaving(String expectedServerId) {
+            return leaving
+                    && !wrongServer
+                    && serverId.filter(id -> !id.equals(expectedServerId)).isEmpty();
+        }
+    }
 
     /**
      * The state of a model server.
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -280,6 +280,9 @@
         if (ended) {
             return;
         }
+        if (head.attemptId().equals(Optional.of(request.id())) && head.saysLeaving(server.id())) {
+            context.view().recordLeaving(server, "request " + request.id());
+        }
         Optional<String> problem = findProblem(status, headers, head);
         if (problem.isEmpty() && !head.wrongServer()) {
             recordRequestLimit(head);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -186,8 +186,12 @@
         return queue.size();
     }
 
+    /** Discards the state of removed servers; refuses the queued requests if none is left. */
     void retain(List<DirectServer> usable) {
         serverSelector.retain(usable);
+        if (context.view().servers().decodeCapable(service).isEmpty()) {
+            queue.removeAll().forEach(ModelFlow::onNoServer);
+        }
     }
 
     private void processQueue() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -110,6 +110,26 @@
         return routes.get() != null && serversListed;
     }
 
+    /**
+     * Records that a response of a server says that it is leaving. Runs on the executor.
+     *
+     * @param server the server
+     * @param source what the response belongs to, for the log
+     */
+    void recordLeaving(DirectServer server, String source) {
+        if (!directory.markLeaving(server.incarnation())) {
+            return;
+        }
+        ServerCatalog known = servers.get();
+        EventLog.log(
+                EventCode.SERVER_SAID_LEAVING,
+                Field.of("server", server.id()),
+                Field.of("service", server.service()),
+                Field.of("source", source),
+                Field.of("serversAgeMillis", timer.nowMillis() - known.readMillis()));
+        publishServers(known.position(), known.readMillis());
+    }
+
     private void applyRoutes(StoreEntry entry) {
         Either<String, RouteTable> read = platform.parseRoutes(entry);
         if (read.isLeft()) {
@@ -158,10 +178,13 @@
     }
 
     private void publishServers(StorePosition position) {
+        publishServers(position, timer.nowMillis());
+    }
+
+    private void publishServers(StorePosition position, long readMillis) {
         List<DirectServer> before = servers.get().all();
         servers.set(
-                ServerCatalog.of(
-                        position, timer.nowMillis(), directory.usable(), directory.draining()));
+                ServerCatalog.of(position, readMillis, directory.usable(), directory.draining()));
         List<DirectServer> after = servers.get().all();
         if (!after.equals(before)) {
             logChanges(before, after, position);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectFlow.java
@@ -12,6 +12,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer.Incarnation;
 import dev.foxtailshed.kernel.direct.EventSequence;
 import dev.foxtailshed.kernel.direct.FailureAction;
+import dev.foxtailshed.kernel.direct.RetryAfterCalculator;
 import dev.foxtailshed.kernel.direct.ServerSelector;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
 import dev.foxtailshed.kernel.direct.workspace.Workspace;
@@ -44,6 +45,8 @@
     /** Callers wait no longer before a retry than this part of the time that they have left. */
     private static final long RETRY_TIME_DIVISOR = 3;
 
+    private static final RetryAfterCalculator RETRY_AFTER = new RetryAfterCalculator();
+
     final DirectContext context;
     final CallerRequest request;
     private final CallerStream caller;
@@ -174,6 +177,12 @@
                         context.rateLimits().withCapacity(untried, nowMillis), tried, nowMillis);
         if (server.isPresent()) {
             recordAttemptStart(server.get());
+        } else if (servers.get().isEmpty()) {
+            fail(
+                    "no server of " + request.service().name() + " may get requests",
+                    false,
+                    RETRY_AFTER.retryAfterMillis(
+                            0, remainingMillis(), context.random().getAsDouble()));
         } else if (untried.isEmpty()) {
             fail("no server of " + request.service().name() + " is left to try");
         } else {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/EngineControlClient.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.daemon.hosting.ServerProtocol;
 import dev.foxtailshed.daemon.hosting.ServerProtocol.ControlCall;
+import dev.foxtailshed.daemon.hosting.ServerProtocol.ResponseHead;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.http.ClientRequests;
 import dev.foxtailshed.kernel.direct.DirectServer;
@@ -11,6 +12,7 @@
 import java.util.function.Supplier;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.StringRequestContent;
 
@@ -62,11 +64,25 @@
                     @Override
                     public void onComplete(Result result) {
                         Reply reply = toReply(result, this::getContent);
-                        context.runOnLoop(() -> next.accept(reply));
+                        ResponseHead head = parseHead(result.getResponse());
+                        context.runOnLoop(
+                                () -> {
+                                    if (head.saysLeaving(server.id())) {
+                                        context.view().recordLeaving(server, call.path());
+                                    }
+                                    next.accept(reply);
+                                });
                     }
                 });
     }
 
+    /** Parses the head of a response, which has status 0 if none arrived. */
+    private ResponseHead parseHead(Response response) {
+        return context.platform()
+                .serverProtocol()
+                .parseHead(response.getStatus(), response.getHeaders());
+    }
+
     private Request newRequest(DirectServer server, ControlCall call) {
         ServerProtocol protocol = context.platform().serverProtocol();
         Request request =
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -146,13 +146,21 @@
         refuse("no prefill or decode capacity in time");
     }
 
+    /** Refuses the request because no server is left that decodes. */
+    void onNoServer() {
+        waiter = Optional.empty();
+        refuse("no server of " + request.service().name() + " may get requests");
+    }
+
     /** Continues with a granted reservation of decode capacity. */
     void onReserved(Reservation granted) {
         waiter = Optional.empty();
         reservation = Optional.of(granted);
         reservationUsed = false;
         reservedAtMillis = context.timer().nowMillis();
-        if (cachedPrompt.isPresent()) {
+        if (!service.isUsable(granted.server())) {
+            reserveElsewhere(granted);
+        } else if (cachedPrompt.isPresent()) {
             startStream();
         } else {
             startPrefill();
@@ -217,13 +225,17 @@
         }
     }
 
+    private void reserveElsewhere(Reservation unusable) {
+        reservation = Optional.empty();
+        service.reservations().release(unusable);
+        begin();
+    }
+
     private void startStream() {
         Reservation held = reservation.orElseThrow();
         if (!service.isUsable(held.server())) {
             // The server started to drain during the prefill; it must not get new requests.
-            reservation = Optional.empty();
-            service.reservations().release(held);
-            begin();
+            reserveElsewhere(held);
             return;
         }
         if (failIfBlocked()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -54,6 +54,8 @@
     SERVER_UNLIMITED(2204, Level.INFO, "A backend server no longer names a request rate."),
     SERVER_LIMIT_UNREADABLE(
             2205, Level.WARN, "A backend server named a request rate that is not a number."),
+    SERVER_SAID_LEAVING(
+            2206, Level.INFO, "A response of a backend server said that the server is leaving."),
     CLAIMS_UNREADABLE(
             3003, Level.ERROR, "A shard of claims cannot be read; its calls are refused."),
     /** The retried write was refused because the object already exists. */
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/RefusalConnectionTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/RefusalConnectionTest.java
@@ -165,6 +165,8 @@
                                         false,
                                         false,
                                         Optional.of("request"),
+                                        Optional.empty(),
+                                        false,
                                         Optional.empty());
                             }
                             return HttpFields.build();
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/AdmissionQueue.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/AdmissionQueue.java
@@ -333,10 +333,22 @@
      * @return the removed items
      */
     public List<T> removeExpired(long nowMillis) {
-        List<Waiter<T>> expired =
-                waiters.stream().filter(w -> w.claim.giveUpMillis() <= nowMillis).toList();
-        expired.forEach(this::remove);
-        return expired.stream().map(Waiter::item).toList();
+        return removeAll(waiter -> waiter.claim.giveUpMillis() <= nowMillis);
+    }
+
+    /**
+     * Removes all requests.
+     *
+     * @return the removed items
+     */
+    public List<T> removeAll() {
+        return removeAll(waiter -> true);
+    }
+
+    private List<T> removeAll(Predicate<Waiter<T>> predicate) {
+        List<Waiter<T>> removed = waiters.stream().filter(predicate).toList();
+        removed.forEach(this::remove);
+        return removed.stream().map(Waiter::item).toList();
     }
 
     /**
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/ServerDirectory.java
@@ -15,13 +15,13 @@
 /**
  * The backend servers that may get new requests, according to the platform's store.
  *
- * <p>A server that was seen draining stays excluded for the rest of its incarnation. One whose
- * entry was removed is excluded until it writes its entry again, as servers do that could not reach
- * the store for a while; an older read that still lists it does not count. Entries expire while the
- * store is unavailable, or are lost when it is restored from a copy, and are written again shortly
- * after it is available. A server whose entry is missing during this time is therefore kept until a
- * grace period after the store's return has passed. Not thread-safe; readers use the immutable list
- * returned by {@link #usable}.
+ * <p>A server that was seen draining, or that said in a response that it is leaving, stays excluded
+ * for the rest of its incarnation. One whose entry was removed is excluded until it writes its
+ * entry again, as servers do that could not reach the store for a while; an older read that still
+ * lists it does not count. Entries expire while the store is unavailable, or are lost when it is
+ * restored from a copy, and are written again shortly after it is available. A server whose entry
+ * is missing during this time is therefore kept until a grace period after the store's return has
+ * passed. Not thread-safe; readers use the immutable list returned by {@link #usable}.
  */
 public final class ServerDirectory {
 
@@ -129,6 +129,21 @@
         rebuildUsable();
     }
 
+    /**
+     * Records that a server said in a response that it is leaving, which its entry may not say.
+     *
+     * @param server the incarnation that responded
+     * @return whether the server may no longer get new requests because of this
+     */
+    public boolean markLeaving(Incarnation server) {
+        boolean wasUsable = usable.stream().anyMatch(other -> other.incarnation().equals(server));
+        drained.add(server);
+        if (wasUsable) {
+            rebuildUsable();
+        }
+        return wasUsable;
+    }
+
     /**
      * Removes the servers whose entries did not reappear within the grace period.
      *
@@ -159,14 +174,14 @@
     }
 
     /**
-     * Returns the servers whose entries say that they are draining.
+     * Returns the servers that are listed and have said that they are leaving.
      *
      * @return a new list
      */
     public List<DirectServer> draining() {
         return present.values().stream()
                 .map(Registration::server)
-                .filter(DirectServer::draining)
+                .filter(server -> drained.contains(server.incarnation()))
                 .toList();
     }
 
@@ -208,7 +223,7 @@
             return;
         }
         boolean mayReturn = storeUnavailable || nowMillis < graceEndMillis;
-        if (mayReturn && !registration.server().draining()) {
+        if (mayReturn && !drained.contains(registration.server().incarnation())) {
             missing.put(id, registration);
         } else {
             markRemoved(registration);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/ServerDirectoryTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/ServerDirectoryTest.java
@@ -34,6 +34,31 @@
         assertThat(directory.usable()).containsExactly(second);
     }
 
+    /** A server says in a response that it is leaving, whatever its entry says. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void serverThatSaysItLeavesStaysExcludedForItsIncarnation(boolean storeUnavailable) {
+        if (storeUnavailable) {
+            directory.markStoreUnavailable();
+        }
+        assertThat(directory.markLeaving(first.incarnation())).isTrue();
+        assertThat(directory.markLeaving(first.incarnation())).isFalse();
+        assertThat(directory.usable()).containsExactly(second);
+        assertThat(directory.draining()).containsExactly(first);
+
+        directory.update(written(first, 1, 2));
+        directory.remove(first.id(), 10);
+        directory.markStoreAvailable(20);
+        directory.replaceAll(List.of(written(first, 1, 3), written(second, 1, 1)), 20);
+        assertThat(directory.usable()).containsExactly(second);
+
+        DirectServer restarted = TestServers.restarted(first);
+        directory.update(written(restarted, 1, 4));
+        assertThat(directory.usable()).containsExactly(restarted, second);
+        assertThat(directory.markLeaving(first.incarnation())).isFalse();
+        assertThat(directory.usable()).containsExactly(restarted, second);
+    }
+
     /** Only the entry of the next incarnation, or one written later, ends the exclusion. */
     @Test
     void olderReadsOfARemovedEntryAreIgnored() {
