Take no status outside 200 to 599 for an answer

Callers got a server's 600 or 999 as an answer, with its seal, and a 101 as the only response of a server left them with a switch of protocols that they had not asked for, and without an end. Cause: the HTTP client refuses what is no number of three digits, and nothing decided what a status must be beyond that.

Change: ResponseStatus decides, asked by BackendCall for runs and prefills; other statuses are broken responses, which may have run.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/BackendCall.java
@@ -12,6 +12,7 @@
 import dev.foxtailshed.kernel.Verdict;
 import dev.foxtailshed.kernel.direct.CallOutcome;
 import dev.foxtailshed.kernel.direct.DirectServer;
+import dev.foxtailshed.kernel.direct.ResponseStatus;
 import dev.foxtailshed.kernel.direct.ServerHealth;
 import dev.foxtailshed.kernel.direct.ServerRateLimits;
 import java.util.Optional;
@@ -326,6 +327,9 @@
     }
 
     private Optional<String> findProblem(int status, HttpFields headers, ResponseHead head) {
+        if (!ResponseStatus.isFinal(status)) {
+            return Optional.of("status " + status + " is not that of a final response");
+        }
         if (head.attemptId().isEmpty()) {
             // It may be an earlier response that was written once more.
             return Optional.of("status " + status + " without a request id");
