Drop a method that only tests used

Cause: broken runs keep the parts of their prompts now, so that nothing but BrokenRunTest asked RequestTraits for the whole request without them. Change: the test has the method; two comments say more clearly what they mean. Measured: the tests of kernel, wire and daemon pass.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CrashNotice.java
@@ -60,8 +60,8 @@
      * or an answer to a prompt with a part got further than those that crashes broke off.
      *
      * @param traits the traits that are no longer suspected
-     * @param ageMillis how long ago the answer ended; for parts of prompts, how long ago the time
-     *     was before which they caused no crash
+     * @param ageMillis how long ago the answer ended; parts of prompts caused no crash that is
+     *     longer ago
      */
     record Ended(List<RequestTrait> traits, long ageMillis) implements CrashNotice {
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingPartFinder.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/CrashingPartFinder.java
@@ -52,7 +52,7 @@
      */
     private record Criterion(int crashes, int requests, int maximumEvents, boolean consecutive) {}
 
-    /** What one crash broke off of the requests with a part. */
+    /** What one crash broke off of the requests with a part; the event is that of the last one. */
     private static final class PartCrash {
         private final ServerCrash crash;
         private final int crashNumber;
--- a/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTraits.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/suspects/RequestTraits.java
@@ -44,16 +44,6 @@
         return new RequestTraits(prompt.ids().stream().map(RequestTrait::promptPart).toList());
     }
 
-    /**
-     * Returns the traits that identify the whole request, without the parts of its prompt.
-     *
-     * @return the digests of the request
-     */
-    public RequestTraits wholeRequest() {
-        return new RequestTraits(
-                traits.stream().filter(trait -> trait.kind() != Kind.PROMPT_PART).toList());
-    }
-
     /**
      * Returns whether the request has all the given traits.
      *
--- a/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/suspects/BrokenRunTest.java
@@ -36,6 +36,14 @@
                 caller + "-" + content);
     }
 
+    /** Returns the traits without the parts of the prompt, which other tests look at. */
+    private static RequestTraits wholeRequest(RequestTraits request) {
+        return new RequestTraits(
+                request.traits().stream()
+                        .filter(trait -> trait.kind() != RequestTrait.Kind.PROMPT_PART)
+                        .toList());
+    }
+
     private void crash(long atMillis, BrokenRun... runs) {
         traits.recordCrash(
                 new ServerCrash(
@@ -48,7 +56,7 @@
     }
 
     private static BrokenRun run(RequestTraits request, int events, long durationMillis) {
-        return new BrokenRun(request.wholeRequest(), events, durationMillis);
+        return new BrokenRun(wholeRequest(request), events, durationMillis);
     }
 
     private boolean isBlocked(RequestTraits request) {
@@ -167,7 +175,7 @@
         assertThat(traits.recordEnd(SOUND.traits(), 1_000, 1_000)).isEmpty();
         crash(3_000, run(DEADLY, 30));
         assertThat(traits.recordEnd(DEADLY.traits(), 4_000, 4_000))
-                .containsExactlyInAnyOrderElementsOf(DEADLY.wholeRequest().traits());
+                .containsExactlyInAnyOrderElementsOf(wholeRequest(DEADLY).traits());
     }
 
     @Test
