End a reservation call once, whatever is due in one pause

Cause: when the reply to a reservation came, its stall timeout was cancelled, but a step that already waited on the entry's loop was not taken back. After a pause in which both became due, the call was granted and then abandoned: the calls under way were counted down twice, and a request that was being prefilled was queued and granted once more.

Evidence: PausedEntryTest holds the loop back for 200 or 400 ms.

Change: SerialTimer, whose cancel holds on the executor, for all delayed steps of direct entries and the timeouts over sidecars, where a late deadline would have ended a call twice. ReservationCalls in the kernel ends each call once. ModelFlow refuses a second reservation and logs both (E5018).

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DecodeReservations.java
@@ -11,6 +11,7 @@
 import dev.foxtailshed.kernel.direct.DirectServer;
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.EngineSpec;
+import dev.foxtailshed.kernel.direct.ReservationCalls;
 import dev.foxtailshed.kernel.direct.ReservationSizer;
 import dev.foxtailshed.kernel.direct.StageChangeTracker;
 import java.util.List;
@@ -47,7 +48,7 @@
     private final ReservationSizer sizer;
     private final StageChangeTracker stageChanges;
     private final AdmissionQueue<ModelFlow> queue = new AdmissionQueue<>();
-    private int callsInFlight;
+    private final ReservationCalls<ModelFlow> calls = new ReservationCalls<>(queue);
 
     DecodeReservations(
             DirectContext context,
@@ -196,7 +197,7 @@
 
     private void processQueue() {
         long nowMillis = context.timer().nowMillis();
-        while (callsInFlight < MAXIMUM_CALLS_IN_FLIGHT && queue.peek().isPresent()) {
+        while (calls.underWay() < MAXIMUM_CALLS_IN_FLIGHT && queue.peek().isPresent()) {
             List<DirectServer> servers =
                     context.rateLimits()
                             .withCapacity(
@@ -218,24 +219,30 @@
             if (!waiter.item().claimPrefill()) {
                 return;
             }
-            queue.take(waiter);
-            reserve(waiter, server.get());
+            reserve(calls.start(waiter), server.get());
         }
     }
 
     /** A request whose reservation at a server is under way. */
     private static final class PendingCall {
-        private final Waiter<ModelFlow> waiter;
+        private final ReservationCalls.Call<ModelFlow> call;
         private final DirectServer server;
-        private boolean abandoned;
         private Optional<Subscription> stallTimer = Optional.empty();
 
-        PendingCall(Waiter<ModelFlow> waiter, DirectServer server) {
-            this.waiter = waiter;
+        PendingCall(ReservationCalls.Call<ModelFlow> call, DirectServer server) {
+            this.call = call;
             this.server = server;
         }
 
-        void end() {
+        Waiter<ModelFlow> waiter() {
+            return call.waiter();
+        }
+
+        ModelFlow flow() {
+            return call.waiter().item();
+        }
+
+        void cancelStallTimer() {
             stallTimer.ifPresent(Subscription::cancel);
         }
     }
@@ -244,85 +251,93 @@
      * Returns a request to the queue whose server does not reply, so that it and the requests
      * behind it need not wait for the timeout. A reservation that is granted later is released.
      */
-    private void abandon(PendingCall call) {
-        call.abandoned = true;
-        callsInFlight--;
-        call.waiter.item().releasePrefillClaim();
-        if (!call.waiter.item().isFinished()) {
-            queue.requeue(call.waiter);
+    private void abandon(PendingCall pending) {
+        if (endUnserved(pending)) {
+            processQueue();
         }
-        processQueue();
+    }
+
+    /** Ends a call without a reservation; returns false if it had ended before. */
+    private boolean endUnserved(PendingCall pending) {
+        ModelFlow flow = pending.flow();
+        boolean ended =
+                flow.isFinished() ? calls.end(pending.call) : calls.endAndRequeue(pending.call);
+        if (ended) {
+            flow.releasePrefillClaim();
+        }
+        return ended;
     }
 
     /** Ends a call that was abandoned; its request is elsewhere by now. */
-    private void onLateReply(PendingCall call, Reply reply) {
+    private void onLateReply(PendingCall pending, Reply reply) {
         long nowMillis = context.timer().nowMillis();
-        serverSelector.recordNoResponse(call.server);
+        serverSelector.recordNoResponse(pending.server);
         if (!reply.hasResponse()) {
-            context.health().get(call.server).recordNoResponse(nowMillis);
+            context.health().get(pending.server).recordNoResponse(nowMillis);
         }
         reservationId(reply)
                 .ifPresent(
                         id ->
                                 controlClient.send(
-                                        call.server,
+                                        pending.server,
                                         context.platform()
                                                 .serverProtocol()
                                                 .newReleaseReservationCall(id),
                                         released -> processQueue()));
     }
 
-    private void reserve(Waiter<ModelFlow> waiter, DirectServer server) {
-        callsInFlight++;
+    private void reserve(ReservationCalls.Call<ModelFlow> call, DirectServer server) {
         serverSelector.recordReservationRequest(server);
-        PendingCall call = new PendingCall(waiter, server);
-        if (waiter.item().competesWithWorkspaces()) {
-            call.stallTimer = Optional.of(context.schedule(STALL_MILLIS, () -> abandon(call)));
+        PendingCall pending = new PendingCall(call, server);
+        ModelFlow flow = pending.flow();
+        if (flow.competesWithWorkspaces()) {
+            pending.stallTimer =
+                    Optional.of(context.schedule(STALL_MILLIS, () -> abandon(pending)));
         }
         if (!supportsReservations()) {
-            onGranted(call, Optional.empty(), waiter.item().tokensToReserve());
-        } else if (waiter.item().isUrgent() && !waiter.isLate()) {
+            onGranted(pending, Optional.empty(), flow.tokensToReserve());
+        } else if (flow.isUrgent() && !pending.waiter().isLate()) {
             // The others leave capacity spare, in which an urgent request finds room.
-            sendReserveCall(call);
+            sendReserveCall(pending);
         } else {
-            reserveWithSpareCapacity(call);
+            reserveWithSpareCapacity(pending);
         }
     }
 
-    private void sendReserveCall(PendingCall call) {
-        ModelFlow flow = call.waiter.item();
+    private void sendReserveCall(PendingCall pending) {
+        ModelFlow flow = pending.flow();
         long tokens = flow.tokensToReserve();
         controlClient.send(
-                call.server,
+                pending.server,
                 context.platform()
                         .serverProtocol()
                         .newReserveCall(tokens, flow.reservationMillis()),
-                reply -> onReply(call, tokens, reply));
+                reply -> onReply(pending, tokens, reply));
     }
 
     /**
      * Reserves more than the request needs, then replaces this by a reservation of the needed size,
      * so that the request is admitted only where enough capacity stays free.
      */
-    private void reserveWithSpareCapacity(PendingCall call) {
-        ModelFlow flow = call.waiter.item();
+    private void reserveWithSpareCapacity(PendingCall pending) {
+        ModelFlow flow = pending.flow();
         ServerProtocol protocol = context.platform().serverProtocol();
         controlClient.send(
-                call.server,
+                pending.server,
                 protocol.newReserveCall(
                         flow.tokensToReserve()
-                                + spareTokens(flow.tokensToReserve(), call.waiter.isLate()),
+                                + spareTokens(flow.tokensToReserve(), pending.waiter().isLate()),
                         flow.reservationMillis()),
                 reply -> {
                     Optional<String> id = reservationId(reply);
-                    if (id.isEmpty() || call.abandoned) {
-                        onReply(call, 0, reply);
+                    if (id.isEmpty() || pending.call.hasEnded()) {
+                        onReply(pending, 0, reply);
                         return;
                     }
                     controlClient.send(
-                            call.server,
+                            pending.server,
                             protocol.newReleaseReservationCall(id.get()),
-                            released -> sendReserveCall(call));
+                            released -> sendReserveCall(pending));
                 });
     }
 
@@ -347,41 +362,37 @@
                 : Optional.empty();
     }
 
-    private void onReply(PendingCall call, long tokens, Reply reply) {
-        call.end();
-        if (call.abandoned) {
-            onLateReply(call, reply);
+    private void onReply(PendingCall pending, long tokens, Reply reply) {
+        pending.cancelStallTimer();
+        if (pending.call.hasEnded()) {
+            onLateReply(pending, reply);
             return;
         }
         Optional<String> id = reservationId(reply);
         if (id.isPresent()) {
-            onGranted(call, id, tokens);
+            onGranted(pending, id, tokens);
             processQueue();
             return;
         }
-        callsInFlight--;
-        Waiter<ModelFlow> waiter = call.waiter;
-        DirectServer server = call.server;
-        waiter.item().releasePrefillClaim();
+        Waiter<ModelFlow> waiter = pending.waiter();
+        DirectServer server = pending.server;
         long nowMillis = context.timer().nowMillis();
         serverSelector.recordRefusal(
                 server, queue.demand(waiter), waiter.item().isUrgent(), nowMillis);
         if (!reply.hasResponse()) {
             context.health().get(server).recordNoResponse(nowMillis);
         }
-        if (!waiter.item().isFinished()) {
-            queue.requeue(waiter);
-        }
+        endUnserved(pending);
         processQueue();
     }
 
-    private void onGranted(PendingCall call, Optional<String> id, long tokens) {
-        call.end();
-        callsInFlight--;
-        serverSelector.recordReservation(call.server, tokens);
-        if (!call.waiter.item().isFinished()) {
+    private void onGranted(PendingCall pending, Optional<String> id, long tokens) {
+        pending.cancelStallTimer();
+        calls.end(pending.call);
+        serverSelector.recordReservation(pending.server, tokens);
+        if (!pending.flow().isFinished()) {
             queue.recordGrant(context.timer().nowMillis());
         }
-        grant(call.waiter.item(), new Reservation(call.server, id, tokens));
+        grant(pending.flow(), new Reservation(pending.server, id, tokens));
     }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectContext.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.daemon.hosting.HostingPlatform;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
+import dev.foxtailshed.daemon.internal.serial.SerialTimer;
 import dev.foxtailshed.kernel.TimerService;
 import dev.foxtailshed.kernel.TimerService.Subscription;
 import dev.foxtailshed.kernel.direct.BufferBudget;
@@ -49,9 +50,12 @@
         loop.executeOrEnqueue(step);
     }
 
-    /** Runs a step on the loop after a delay; a negative delay counts as zero. */
+    /**
+     * Runs a step on the loop after a delay; a negative delay counts as zero. The step does not run
+     * once it was cancelled on the loop.
+     */
     Subscription schedule(long delayMillis, Runnable step) {
-        return timer.once(Math.max(0, delayMillis), () -> loop.executeOrEnqueue(step));
+        return new SerialTimer(timer, loop::executeOrEnqueue).once(delayMillis, step);
     }
 
     Request backendRequest(DirectServer server, String method, String target) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.daemon.internal.direct;
 
 import com.codahale.metrics.MetricRegistry;
+import dev.foxtailshed.daemon.internal.direct.DecodeReservations.Reservation;
 import dev.foxtailshed.daemon.internal.events.EventCode;
 import dev.foxtailshed.daemon.internal.events.EventLog;
 import dev.foxtailshed.daemon.internal.events.Field;
@@ -245,6 +246,19 @@
                 Field.of("remainingMillis", request.deadlineMillis() - timer.nowMillis()));
     }
 
+    /** Records that a request that holds a reservation got another one. */
+    void recordSecondReservation(CallerRequest request, Reservation first, Reservation second) {
+        registry.counter("reservations.second").inc();
+        EventLog.log(
+                EventCode.SECOND_RESERVATION_REFUSED,
+                Field.of("request", request.id()),
+                Field.of("server", first.server().id()),
+                Field.of("reservation", first.id().orElse("none")),
+                Field.of("refusedServer", second.server().id()),
+                Field.of("refusedReservation", second.id().orElse("none")),
+                Field.of("elapsedMillis", timer.nowMillis() - request.arrivedMillis()));
+    }
+
     /** Records that the caller has disconnected. */
     void recordCallerDisconnect(CallerRequest request) {
         registry.counter("callers.gone").inc();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/ModelFlow.java
@@ -154,6 +154,12 @@
 
     /** Continues with a granted reservation of decode capacity. */
     void onReserved(Reservation granted) {
+        if (reservation.isPresent()) {
+            // Each reservation leads to a run, also of a request that may run only once.
+            context.recorder().recordSecondReservation(request, reservation.get(), granted);
+            service.reservations().release(granted);
+            return;
+        }
         waiter = Optional.empty();
         reservation = Optional.of(granted);
         reservationUsed = false;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Attempt.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/Attempt.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.daemon.internal.entry;
 
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
+import dev.foxtailshed.daemon.internal.serial.SerialTimer;
 import dev.foxtailshed.kernel.AttemptId;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
@@ -79,7 +80,7 @@
     /** Sends an offer; the attempt fails as not run if the sidecar does not answer in time. */
     void offer(Offer offer, long timeoutMillis) {
         kind = offer.kind().name().toLowerCase();
-        offerTimeout = timer.once(timeoutMillis, () -> serial.execute(this::onOfferTimeout));
+        offerTimeout = new SerialTimer(timer, serial).once(timeoutMillis, this::onOfferTimeout);
         if (!connection.registerAndSend(offer, this, offer)) {
             fail(Verdict.NOT_RUN, ErrorCode.CONNECTION_LOST, "no connection to the sidecar");
         }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/CallFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/CallFlow.java
@@ -2,6 +2,7 @@
 
 import dev.foxtailshed.daemon.internal.entry.EntryMetrics.MetricLabels;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
+import dev.foxtailshed.daemon.internal.serial.SerialTimer;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService;
@@ -50,6 +51,7 @@
     private final EntryContext context;
     private ResolvedCall call;
     private final SerialExecutor serial;
+    private final SerialTimer timer;
     private final long arrival;
     private final long startMillis;
     private final RequestOutcomeRecorder recorder;
@@ -70,6 +72,7 @@
         this.context = context;
         this.call = call;
         this.serial = new SerialExecutor(context.executor());
+        this.timer = new SerialTimer(context.timer(), serial);
         this.arrival = arrival;
         this.startMillis = context.timer().nowMillis();
         MetricLabels labels =
@@ -125,7 +128,7 @@
                 .forDeployment(call.deployment().name())
                 .addRequest(call.policy().retryBudgetPercent());
         long leftMillis = Math.max(0, call.requestClass().timeoutMillis() - elapsedMillis());
-        deadline = context.timer().once(leftMillis, () -> serial.execute(this::onDeadline));
+        deadline = timer.once(leftMillis, this::onDeadline);
         startAttempt();
     }
 
@@ -149,7 +152,7 @@
         recordAtEnd = recordOutcome;
         deadline.cancel();
         long limitMillis = call.requestClass().timeoutMillis() + OUTCOME_GRACE_MILLIS;
-        deadline = context.timer().once(limitMillis, () -> serial.execute(this::onOutcomeTimeout));
+        deadline = timer.once(limitMillis, this::onOutcomeTimeout);
     }
 
     private boolean isCommitted() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/ModelFlow.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/entry/ModelFlow.java
@@ -3,6 +3,7 @@
 import dev.foxtailshed.daemon.internal.entry.EntryMetrics.MetricLabels;
 import dev.foxtailshed.daemon.internal.http.CallerStream;
 import dev.foxtailshed.daemon.internal.serial.SerialExecutor;
+import dev.foxtailshed.daemon.internal.serial.SerialTimer;
 import dev.foxtailshed.kernel.ErrorCode;
 import dev.foxtailshed.kernel.RequestFailure;
 import dev.foxtailshed.kernel.TimerService;
@@ -40,6 +41,7 @@
     private final EntryContext context;
     private ResolvedModelRequest request;
     private final SerialExecutor serial;
+    private final SerialTimer timer;
     private final long arrival;
     private final long startMillis;
     private final LatencyTracker latency;
@@ -70,6 +72,7 @@
         this.context = context;
         this.request = request;
         this.serial = new SerialExecutor(context.executor());
+        this.timer = new SerialTimer(context.timer(), serial);
         this.arrival = arrival;
         this.startMillis = context.timer().nowMillis();
         this.latency = new LatencyTracker(startMillis, request.requestClass());
@@ -114,12 +117,11 @@
         context.retryBudgets()
                 .forDeployment(labels.deployment())
                 .addRequest(request.policy().retryBudgetPercent());
-        TimerService timer = context.timer();
         long timeoutMillis = request.requestClass().timeoutMillis();
-        deadline = timer.once(timeoutMillis, () -> serial.execute(this::onDeadline));
+        deadline = timer.once(timeoutMillis, this::onDeadline);
         if (!request.requestClass().patient()) {
             long limitMillis = Math.max(0, estimate.startByMillis() - startMillis);
-            queueTimeout = timer.once(limitMillis, () -> serial.execute(this::onQueueTimeout));
+            queueTimeout = timer.once(limitMillis, this::onQueueTimeout);
         }
         if (context.waitQueue().isEmpty(estimate.lane())) {
             advance();
@@ -285,11 +287,7 @@
         prefill.setState(ReservationState.PREFILLED);
         suspectTracker.endIsolation(attempt.connection().serverName());
         prefillResult = Optional.of(prefilled);
-        exportTimeout =
-                context.timer()
-                        .once(
-                                EXPORT_TIMEOUT_MILLIS,
-                                () -> serial.execute(() -> onExportTimeout(attempt)));
+        exportTimeout = timer.once(EXPORT_TIMEOUT_MILLIS, () -> onExportTimeout(attempt));
         advance();
     }
 
@@ -410,7 +408,7 @@
         // Without budget, work that must not be lost is retried late rather than failed.
         int retry = affordable ? attempts - 1 : RETRY_NUMBER_WITHOUT_BUDGET;
         long delayMillis = BACKOFF.delayMillis(retry, ThreadLocalRandom.current().nextDouble());
-        context.timer().once(delayMillis, () -> serial.execute(this::advance));
+        timer.once(delayMillis, this::advance);
     }
 
     private void enqueue() {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -118,6 +118,8 @@
             "A request was refused, since no workspace has the key that it carries."),
     WORKSPACE_AT_LIMIT(
             5017, Level.INFO, "Requests of a workspace were rejected, since it has no credit."),
+    SECOND_RESERVATION_REFUSED(
+            5018, Level.ERROR, "A request that has a reservation got another, which is released."),
     REQUEST_REFUSED(5009, Level.INFO, "A request was refused before a server was chosen."),
     SUSPECT_NOTED(5004, Level.WARN, "A backend server crashed while it ran this request."),
     SUSPECT_REFUSED(
