--- a/review/standins-3/AppServer.java
+++ b/review/standins-3/AppServer.java
@@ -1,13 +1,15 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 
-/** A server of the application service, which answers each request after its work. */
+/** A server of the application service, which works on six requests at once and queues the rest. */
 final class AppServer {
 
     final String id;
     final Map<String, Long> arrivals = new ConcurrentHashMap<>();
+    private final Semaphore slots = new Semaphore(6, true);
     private final Record record;
     private final long workMillis;
     private final Wire.Listener listener;
@@ -58,7 +60,12 @@
             } else {
                 arrivals.put(attempt, record.nowMillis());
                 record.add(id, "runs " + attempt);
-                Thread.sleep(workMillis / 2 + ThreadLocalRandom.current().nextLong(workMillis));
+                slots.acquire();
+                try {
+                    Thread.sleep(workMillis / 2 + ThreadLocalRandom.current().nextLong(workMillis));
+                } finally {
+                    slots.release();
+                }
                 connection.respond(
                         200,
                         "X-Attempt-Id: " + attempt + "\r\nX-Server-Seal: seal." + id + "\r\n",
