--- a/review/standins-3/Callers.java
+++ b/review/standins-3/Callers.java
@@ -9,7 +9,13 @@
 final class Callers {
 
     /** One request as its caller saw it. */
-    record Result(String attempt, boolean safe, long sentMillis, int status, boolean complete) {}
+    record Result(
+            String attempt,
+            String entry,
+            boolean safe,
+            long sentMillis,
+            long tookMillis,
+            int status) {}
 
     final Map<String, Result> results = new ConcurrentHashMap<>();
     final Map<String, Long> sentMillis = new ConcurrentHashMap<>();
@@ -37,7 +43,7 @@
     void stop() throws InterruptedException {
         running = false;
         for (Thread thread : threads) {
-            thread.join(3_000);
+            thread.join(5_000);
         }
     }
 
@@ -70,7 +76,9 @@
             } catch (IOException e) {
                 connection = null;
             }
-            results.put(attempt, new Result(attempt, safe, sent, status, complete));
+            long tookMillis = record.nowMillis() - sent;
+            results.put(
+                    attempt, new Result(attempt, entry.name, safe, sent, tookMillis, status));
             record.add(entry.name, attempt + " sent at " + sent + " ends with " + status);
             Thread.sleep(pauseMillis);
         }
