Send names to servers as they are, or refuse their requests

Callers of workspaces with Greek names got entries of other workspaces in sound answers: servers received their requests with an empty X-Tenant. Spaces at the ends, control characters, unpaired surrogates and the Latin-1 reading of another name's UTF-8 bytes were further ways to another name.

A workspace whose name cannot be sent is unusable from the moment its configuration is read; its keys stay known and get 503 workspace_unusable, the others stay in force. JsonBytes keeps unpaired surrogates in copies between entries.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -38,6 +38,9 @@
     /** Retry-After while the bodies of other requests take all memory; about one such request. */
     private static final long NO_ROOM_RETRY_MILLIS = 300;
 
+    /** Retry-After if only a new configuration can help; no earlier retry succeeds. */
+    private static final long NEW_CONFIGURATION_RETRY_MILLIS = 5_000;
+
     private final DirectContext context;
     private final FlowFactory flows;
     private final ShutdownGate gate;
@@ -88,7 +91,7 @@
         if (workspace.isEmpty()
                 && routes.get().workspaces().isPresent()
                 && !route.get().isPublic()) {
-            refuseUnauthorized(pending, attributes);
+            refuseWithoutWorkspace(pending, routes.get(), attributes);
             return true;
         }
         readBody(
@@ -265,8 +268,8 @@
         return Optional.ofNullable(headers.get(HttpHeader.HOST)).orElse("");
     }
 
-    private void refuseUnauthorized(PendingResponse pending, RequestAttributes attributes) {
-        context.recorder().recordUnknownKey(pending.requestId(), attributes.apiKey());
+    private void refuseWithoutWorkspace(
+            PendingResponse pending, RouteTable routes, RequestAttributes attributes) {
         HttpFields headers = pending.request().getHeaders();
         boolean hasBody =
                 headers.contains(HttpHeader.CONTENT_LENGTH)
@@ -275,7 +278,21 @@
             // The body is not read, so the connection cannot be used again.
             pending.response().getHeaders().put(HttpFields.CONNECTION_CLOSE);
         }
-        refuse(pending, ErrorCode.UNAUTHORIZED, "the request has no valid key");
+        boolean isUnusable =
+                routes.workspaces()
+                        .filter(table -> attributes.apiKey().filter(table::isUnusable).isPresent())
+                        .isPresent();
+        if (isUnusable) {
+            refuse(
+                    pending,
+                    RequestFailure.notRun(
+                                    ErrorCode.WORKSPACE_UNUSABLE,
+                                    "the configuration of the key's workspace cannot be used")
+                            .retryAfter(NEW_CONFIGURATION_RETRY_MILLIS));
+        } else {
+            context.recorder().recordUnknownKey(pending.requestId(), attributes.apiKey());
+            refuse(pending, ErrorCode.UNAUTHORIZED, "the request has no valid key");
+        }
     }
 
     private void refuseTooLarge(PendingResponse pending, int maximumBytes) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ErrorBody.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/http/ErrorBody.java
@@ -1,10 +1,10 @@
 package dev.foxtailshed.daemon.internal.http;
 
 import com.google.gson.JsonObject;
+import dev.foxtailshed.daemon.hosting.JsonBytes;
 import dev.foxtailshed.kernel.RequestFailure;
 import java.math.BigDecimal;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -88,8 +88,7 @@
      */
     public static void writeJson(Response response, JsonObject body, Callback callback) {
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
-        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-        response.write(true, ByteBuffer.wrap(bytes), callback);
+        response.write(true, ByteBuffer.wrap(JsonBytes.write(body)), callback);
     }
 
     /**
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/WorkspaceTable.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/WorkspaceTable.java
@@ -13,18 +13,24 @@
  * The workspaces of one version of the configuration, by key and by name. Immutable.
  *
  * <p>A key that two workspaces have belongs to neither of them, since a request must never count
- * for the wrong one.
+ * for the wrong one. The keys of workspaces that cannot be used stay known, so that their callers
+ * are told apart from those with unknown keys.
  */
 public final class WorkspaceTable {
 
     private final Map<ApiKey, Workspace> byKey;
     private final Map<String, Workspace> byName;
+    private final Set<ApiKey> unusableKeys;
     private final List<String> problems;
 
     private WorkspaceTable(
-            Map<ApiKey, Workspace> byKey, Map<String, Workspace> byName, List<String> problems) {
+            Map<ApiKey, Workspace> byKey,
+            Map<String, Workspace> byName,
+            Set<ApiKey> unusableKeys,
+            List<String> problems) {
         this.byKey = Map.copyOf(byKey);
         this.byName = Map.copyOf(byName);
+        this.unusableKeys = Set.copyOf(unusableKeys);
         this.problems = List.copyOf(problems);
     }
 
@@ -38,6 +44,16 @@
         return Optional.ofNullable(byKey.get(key));
     }
 
+    /**
+     * Returns whether a key is configured, but belongs to no workspace that can be used.
+     *
+     * @param key the key
+     * @return false for keys of usable workspaces and for unknown keys
+     */
+    public boolean isUnusable(ApiKey key) {
+        return unusableKeys.contains(key);
+    }
+
     /**
      * Returns the workspaces.
      *
@@ -72,7 +88,7 @@
     public static final class Builder {
         private final Map<ApiKey, Workspace> byKey = new HashMap<>();
         private final Map<String, Workspace> byName = new HashMap<>();
-        private final Set<ApiKey> ambiguous = new HashSet<>();
+        private final Set<ApiKey> unusableKeys = new HashSet<>();
         private final List<String> problems = new ArrayList<>();
 
         /**
@@ -83,9 +99,11 @@
          * @return this builder
          */
         public Builder add(Workspace workspace, List<String> keys) {
-            if (byName.putIfAbsent(workspace.name(), workspace) != null) {
-                return addProblem(
-                        "workspace " + workspace.name() + ": expected it once, found it twice");
+            Workspace sameName = byName.putIfAbsent(workspace.name(), workspace);
+            if (sameName != null) {
+                return addUnusable(
+                        "workspace " + workspace.name() + ": expected it once, found it twice",
+                        keys.stream().filter(text -> !isKeyOf(sameName, text)).toList());
             }
             for (String text : keys) {
                 Optional<ApiKey> key = ApiKey.parse(text);
@@ -101,10 +119,29 @@
             return this;
         }
 
+        private boolean isKeyOf(Workspace workspace, String text) {
+            return ApiKey.parse(text)
+                    .map(byKey::get)
+                    .filter(owner -> owner.equals(workspace))
+                    .isPresent();
+        }
+
+        /**
+         * Adds the keys of a workspace that cannot be used.
+         *
+         * @param problem says why, without keys
+         * @param keys the texts of the keys
+         * @return this builder
+         */
+        public Builder addUnusable(String problem, List<String> keys) {
+            keys.stream().map(ApiKey::parse).flatMap(Optional::stream).forEach(unusableKeys::add);
+            return addProblem(problem);
+        }
+
         private void add(Workspace workspace, ApiKey key) {
             Workspace other = byKey.putIfAbsent(key, workspace);
             if (other != null && !other.equals(workspace)) {
-                ambiguous.add(key);
+                unusableKeys.add(key);
                 addProblem(
                         "workspaces "
                                 + other.name()
@@ -133,9 +170,9 @@
          * @return the table of the workspaces added so far
          */
         public WorkspaceTable build() {
-            Map<ApiKey, Workspace> unambiguous = new HashMap<>(byKey);
-            unambiguous.keySet().removeAll(ambiguous);
-            return new WorkspaceTable(unambiguous, byName, problems);
+            Map<ApiKey, Workspace> usable = new HashMap<>(byKey);
+            usable.keySet().removeAll(unusableKeys);
+            return new WorkspaceTable(usable, byName, unusableKeys, problems);
         }
     }
 }
