Match routes with letters beyond ASCII as clients send them

Routes whose host or prefix has letters beyond ASCII were refused with 404: clients send such a host in its ASCII form, and the letters of a path as percent signs of their UTF-8 bytes, while the configured texts were compared as written. Evidence: RouteTableTest.

Change: RouteTable compares paths in the form of UrlPath, which escapes what clients cannot send and writes the digits of escapes in upper case; nothing is decoded.

Result: prefixWithOtherLettersMatchesItsEscapedForm fails with a RouteTable that compares as before; all pass.

--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
@@ -52,7 +52,7 @@
         for (DirectRoute route : routes) {
             byHostAndPrefix
                     .computeIfAbsent(route.host(), host -> new HashMap<>())
-                    .put(route.pathPrefix(), route);
+                    .put(UrlPath.normalize(route.pathPrefix()), route);
         }
     }
 
@@ -68,8 +68,9 @@
         if (byPrefix == null) {
             return Optional.empty();
         }
-        for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
-            DirectRoute route = byPrefix.get(path.substring(0, end + 1));
+        String normal = UrlPath.normalize(path);
+        for (int end = normal.lastIndexOf('/'); end >= 0; end = normal.lastIndexOf('/', end - 1)) {
+            DirectRoute route = byPrefix.get(normal.substring(0, end + 1));
             if (route != null) {
                 return Optional.of(route);
             }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
@@ -43,6 +43,38 @@
                 .isEqualTo(Optional.ofNullable(expected));
     }
 
+    /** Guards against a route that no request can take, as clients escape its letters. */
+    @ParameterizedTest
+    @CsvSource({
+        "/gr\u00f6\u00dfe/x, own",
+        "/gr%C3%B6%C3%9Fe/x, own",
+        "/gr%c3%b6%c3%9fe/x, own",
+        "/gr%C3%B6%C3%9Fe, root",
+        "/grosse/x, root",
+        "/gr%F6%DFe/x, root",
+        "/gr%C3%B6%C3%9Fe%2Fx, root",
+        "/a%2fb/x, escaped",
+        "/a%2Fb/x, escaped",
+        "/a/b/x, root",
+        "/50%/x, percent",
+        "/%zz/x, root",
+    })
+    void prefixWithOtherLettersMatchesItsEscapedForm(String path, String expected) {
+        RouteTable letters =
+                new RouteTable(
+                        3,
+                        List.of(
+                                route("root", "one.example", "/"),
+                                route("own", "one.example", "/gr\u00f6\u00dfe/"),
+                                route("escaped", "one.example", "/a%2Fb/"),
+                                route("percent", "one.example", "/50%/")),
+                        Map.of(),
+                        new CallerLimits(1, 1, 1, 1),
+                        Optional.empty());
+
+        assertThat(letters.match("one.example", path).map(DirectRoute::name)).contains(expected);
+    }
+
     @ParameterizedTest
     @CsvSource({"0.0, x", "0.89, x", "0.91, y", "0.999, y"})
     void servicesArePickedByWeight(double random, String expected) {
