Escape control characters in the text form of events

A name with a carriage return or an escape character, which any program may have written into the store, reached the text form of the log as it was, where it could overwrite a line or steer the terminal that shows it. Cause: EventMessage escaped line feeds only. Evidence: EventMessageTest.

Change: control characters and the line separators of Unicode are escaped.

The JSON form was sound.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventMessage.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventMessage.java
@@ -54,11 +54,31 @@
         if (isPlain) {
             return value;
         }
-        String escaped = value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
-        return '"' + escaped + '"';
+        StringBuilder escaped = new StringBuilder("\"");
+        value.chars().forEach(character -> appendEscaped(escaped, (char) character));
+        return escaped.append('"').toString();
+    }
+
+    /** Escapes what could look like the end of a field or line, or steer a terminal. */
+    private static void appendEscaped(StringBuilder escaped, char character) {
+        if (character == '\\' || character == '"') {
+            escaped.append('\\').append(character);
+        } else if (character == '\n') {
+            escaped.append("\\n");
+        } else if (isControl(character)) {
+            escaped.append(String.format("\\u%04x", (int) character));
+        } else {
+            escaped.append(character);
+        }
+    }
+
+    private static boolean isControl(int character) {
+        return Character.isISOControl(character)
+                || Character.getType(character) == Character.LINE_SEPARATOR
+                || Character.getType(character) == Character.PARAGRAPH_SEPARATOR;
     }
 
     private static boolean needsQuotes(int character) {
-        return character <= ' ' || character == '"' || character == '=';
+        return character <= ' ' || character == '"' || character == '=' || isControl(character);
     }
 }
