Read numbers of the configuration that are no integers

A configuration that split a route 99.5 to 0.5 was never applied, nor was any later one that held the split: callers of a moved, a dropped and an added route were served by the version before for good, at entries that said that they were ready.

Change: shares and priorities keep all their digits. Times are rounded up to whole milliseconds, and limits on things that come whole are rounded down, which has the same effect; numbers above 2^53 count as 2^53, so that sums do not overflow. A weight of 0 gets nothing, also if all are 0: 503 route_unusable. Route priorities are ranked where there are no workspaces, as they were beside workspaces.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/JsonFields.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/JsonFields.java
@@ -5,6 +5,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
 import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +21,11 @@
     /** Part of a value that error messages contain; another program may write any length. */
     private static final int MAXIMUM_VALUE_CHARACTERS = 120;
 
+    /** Largest limit or duration in milliseconds, of which many can be added up. */
+    public static final long LARGEST_LIMIT = 1L << 53;
+
+    private static final int MILLI_DIGITS = 3;
+
     private final String path;
     private final JsonObject object;
 
@@ -102,6 +108,82 @@
         return (int) value;
     }
 
+    /**
+     * Returns a number with all its digits.
+     *
+     * @param name the field's name
+     * @return the value, not negative, without trailing zeros
+     * @throws IllegalArgumentException if the field is not a number, or is negative
+     */
+    public BigDecimal getDecimal(String name) {
+        String description = "a number of at least 0";
+        JsonPrimitive primitive = getPrimitive(name, description);
+        if (!primitive.isNumber()) {
+            throw invalidField(name, description);
+        }
+        BigDecimal value = toDecimal(name, primitive, description);
+        if (value.signum() < 0) {
+            throw invalidField(name, description);
+        }
+        return value.stripTrailingZeros();
+    }
+
+    /**
+     * Returns a limit on things that come whole, such as bytes or requests: the largest integer
+     * that is within the number.
+     *
+     * @param name the field's name
+     * @param minimum the smallest allowed value
+     * @return the limit, at most {@link #LARGEST_LIMIT}, which has the same effect as any larger
+     *     one
+     * @throws IllegalArgumentException if the field is not a number or is out of range
+     */
+    public long getLimit(String name, long minimum) {
+        return toLong(name, getDecimal(name), RoundingMode.FLOOR, minimum);
+    }
+
+    /**
+     * Returns a duration in milliseconds; a part of a millisecond counts as a whole one.
+     *
+     * @param name the field's name, whose unit is milliseconds
+     * @param minimum the smallest allowed value
+     * @return the duration, at most {@link #LARGEST_LIMIT}
+     * @throws IllegalArgumentException if the field is not a number or is out of range
+     */
+    public long getMillis(String name, long minimum) {
+        return toLong(name, getDecimal(name), RoundingMode.CEILING, minimum);
+    }
+
+    /**
+     * Returns a duration that the document gives in seconds.
+     *
+     * @param name the field's name, whose unit is seconds
+     * @return the duration in milliseconds, rounded up, at most {@link #LARGEST_LIMIT}
+     * @throws IllegalArgumentException if the field is not a number or is negative
+     */
+    public long getSecondsAsMillis(String name) {
+        return toLong(name, getDecimal(name).movePointRight(MILLI_DIGITS), RoundingMode.CEILING, 0);
+    }
+
+    private long toLong(String name, BigDecimal value, RoundingMode rounding, long minimum) {
+        // Compared first, since writing out a number with a large exponent takes much memory.
+        boolean isLargest = value.compareTo(BigDecimal.valueOf(LARGEST_LIMIT)) >= 0;
+        long result = isLargest ? LARGEST_LIMIT : value.setScale(0, rounding).longValue();
+        if (result < minimum) {
+            throw invalidField(name, "a number of at least " + minimum);
+        }
+        return result;
+    }
+
+    private BigDecimal toDecimal(String name, JsonPrimitive value, String description) {
+        try {
+            return value.getAsBigDecimal();
+        } catch (NumberFormatException e) {
+            // Gson refuses numbers whose digits would take much memory.
+            throw invalidField(name, description);
+        }
+    }
+
     /**
      * Returns a finite number.
      *
@@ -228,7 +310,14 @@
                 : value.substring(0, MAXIMUM_VALUE_CHARACTERS) + "...";
     }
 
-    private JsonArray getArray(String name) {
+    /**
+     * Returns an array of any elements.
+     *
+     * @param name the field's name
+     * @return the array itself, not a copy
+     * @throws IllegalArgumentException if the field is not an array
+     */
+    public JsonArray getArray(String name) {
         JsonElement element = object.get(name);
         if (element == null || !element.isJsonArray()) {
             throw invalidField(name, "an array");
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
@@ -22,6 +22,7 @@
  * @param service the service that runs the request
  * @param workspace the caller's workspace, if it has a valid key
  * @param identity what servers learn of the caller; empty if the deployment has no workspaces
+ * @param priority the rank among workspaces and routes, or among routes alone; 0 is the most urgent
  * @param routesVersion the version of the routing configuration that has the route
  * @param arrivedMillis when the head arrived, on the timer's clock
  * @param deadlineMillis when the final response must have been sent, on the timer's clock
@@ -38,6 +39,7 @@
         DirectService service,
         Optional<Workspace> workspace,
         Optional<CallerIdentity> identity,
+        int priority,
         long routesVersion,
         long arrivedMillis,
         long deadlineMillis) {
@@ -53,9 +55,4 @@
     boolean isUrgent() {
         return identity.map(CallerIdentity::urgent).orElse(false);
     }
-
-    /** Returns the priority: the rank among workspaces and routes, or that of the route alone. */
-    int priority() {
-        return identity.map(CallerIdentity::urgency).orElse(route.priority());
-    }
 }
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -18,7 +18,6 @@
 import dev.foxtailshed.kernel.direct.workspace.UrgencyRanks;
 import dev.foxtailshed.kernel.direct.workspace.Workspace;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -115,13 +114,14 @@
         }
 
         private CallerIdentity identity(UrgencyRanks ranks) {
-            int rank =
-                    ranks.rank(
-                            workspace.map(Workspace::priority).orElse(OptionalInt.empty()),
-                            route.priority());
+            int rank = ranks.rank(workspace.flatMap(Workspace::priority), route.priority());
             return new CallerIdentity(workspace.map(Workspace::name), rank, ranks.isUrgent(rank));
         }
 
+        int priority() {
+            return identity().map(CallerIdentity::urgency).orElse(routes.priorityRank(route));
+        }
+
         long deadlineMillis() {
             long limitMillis = route.timeoutMillis();
             return arrivedMillis
@@ -202,7 +202,12 @@
             return;
         }
         Request request = pending.request();
-        String name = matched.route().pickService(context.random().getAsDouble());
+        Optional<String> picked = matched.route().pickService(context.random().getAsDouble());
+        if (picked.isEmpty()) {
+            refuseUnusableRoute(pending, "no service of the route gets requests");
+            return;
+        }
+        String name = picked.get();
         DirectService service =
                 matched.routes()
                         .service(name)
@@ -225,6 +230,7 @@
                         service,
                         matched.workspace(),
                         matched.identity(),
+                        matched.priority(),
                         matched.routes().version(),
                         matched.arrivedMillis(),
                         matched.deadlineMillis());
@@ -295,6 +301,14 @@
         }
     }
 
+    /** Refuses a request that no server may run until the configuration changes. */
+    private void refuseUnusableRoute(PendingResponse pending, String message) {
+        refuse(
+                pending,
+                RequestFailure.notRun(ErrorCode.ROUTE_UNUSABLE, message)
+                        .retryAfter(NEW_CONFIGURATION_RETRY_MILLIS));
+    }
+
     private void refuseTooLarge(PendingResponse pending, int maximumBytes) {
         refuse(pending, ErrorCode.TOO_LARGE, "the body is larger than " + maximumBytes + " bytes");
     }
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
@@ -6,6 +6,7 @@
 import dev.foxtailshed.kernel.direct.PromptParts;
 import dev.foxtailshed.kernel.direct.Repeatability;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
+import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -44,8 +45,8 @@
                         1_000,
                         1_000,
                         0,
-                        0,
-                        List.of(new DirectRoute.WeightedService("app", 1)),
+                        BigDecimal.ZERO,
+                        List.of(new DirectRoute.WeightedService("app", BigDecimal.ONE)),
                         2,
                         false,
                         false);
@@ -67,6 +68,7 @@
                 service,
                 Optional.empty(),
                 Optional.empty(),
+                0,
                 1,
                 0,
                 1_000);
--- a/kernel/src/main/java/dev/foxtailshed/kernel/ErrorCode.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/ErrorCode.java
@@ -28,6 +28,8 @@
     NO_SERVER("no_server", 503),
     /** No manifest is in force at this instance. */
     NO_MANIFEST("no_manifest", 503),
+    /** The configuration of the request's route, or of its service, cannot be used. */
+    ROUTE_UNUSABLE("route_unusable", 503),
     /** The configuration of the caller's workspace cannot be used. */
     WORKSPACE_UNUSABLE("workspace_unusable", 503),
     /** The instance is shutting down. */
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectRoute.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/DirectRoute.java
@@ -1,6 +1,10 @@
 package dev.foxtailshed.kernel.direct;
 
+import static java.math.BigDecimal.ZERO;
+
+import java.math.BigDecimal;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A route: the host and path prefix that it matches, the services behind it, and its limits.
@@ -26,7 +30,7 @@
         long timeoutMillis,
         long targetLatencyMillis,
         long targetGapMillis,
-        int priority,
+        BigDecimal priority,
         List<WeightedService> services,
         int maximumServers,
         boolean modelTraffic,
@@ -38,31 +42,42 @@
         if (services.isEmpty()) {
             throw new IllegalArgumentException("route " + name + ": expected at least one service");
         }
+        for (WeightedService service : services) {
+            if (service.weight().signum() < 0) {
+                throw new IllegalArgumentException(
+                        "route " + name + ": expected no negative weight, found " + service);
+            }
+        }
     }
 
     /**
      * A service and its share of a route's requests.
      *
      * @param service the service's name
-     * @param weight the weight, relative to the route's other services
+     * @param weight the weight, relative to the route's other services; 0 for no requests
      */
-    public record WeightedService(String service, int weight) {}
+    public record WeightedService(String service, BigDecimal weight) {}
 
     /**
      * Picks a service at random by weight.
      *
      * @param random a random number in [0, 1)
-     * @return the service's name
+     * @return the service's name, empty if all weights are 0
      */
-    public String pickService(double random) {
-        long total = services.stream().mapToLong(WeightedService::weight).sum();
-        double remaining = random * total;
+    public Optional<String> pickService(double random) {
+        if (services.size() == 1 && services.get(0).weight().signum() > 0) {
+            return Optional.of(services.get(0).service());
+        }
+        BigDecimal total =
+                services.stream().map(WeightedService::weight).reduce(ZERO, BigDecimal::add);
+        BigDecimal remaining = total.multiply(BigDecimal.valueOf(random));
+        Optional<String> picked = Optional.empty();
         for (WeightedService weighted : services) {
-            remaining -= weighted.weight();
-            if (remaining < 0) {
-                return weighted.service();
+            if (weighted.weight().signum() > 0 && remaining.signum() >= 0) {
+                picked = Optional.of(weighted.service());
             }
+            remaining = remaining.subtract(weighted.weight());
         }
-        return services.get(0).service();
+        return picked;
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
@@ -2,11 +2,13 @@
 
 import dev.foxtailshed.kernel.direct.workspace.UrgencyRanks;
 import dev.foxtailshed.kernel.direct.workspace.WorkspaceTable;
+import java.math.BigDecimal;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * One version of the routing configuration.
@@ -21,6 +23,7 @@
     private final CallerLimits limits;
     private final Optional<WorkspaceTable> workspaces;
     private final Optional<UrgencyRanks> urgencyRanks;
+    private final List<BigDecimal> priorities;
     private final Map<String, Map<String, DirectRoute>> byHostAndPrefix = new HashMap<>();
 
     /**
@@ -49,6 +52,13 @@
                                 new UrgencyRanks(
                                         table.byName().values(),
                                         routes.stream().map(DirectRoute::priority).toList()));
+        this.priorities =
+                Stream.concat(
+                                Stream.of(BigDecimal.ZERO),
+                                routes.stream().map(DirectRoute::priority))
+                        .distinct()
+                        .sorted()
+                        .toList();
         for (DirectRoute route : routes) {
             byHostAndPrefix
                     .computeIfAbsent(route.host(), host -> new HashMap<>())
@@ -133,6 +143,16 @@
         return workspaces;
     }
 
+    /**
+     * Returns the rank of a route's priority among those of all routes.
+     *
+     * @param route a route of this table
+     * @return the rank; 0 only for routes of priority 0, the most urgent
+     */
+    public int priorityRank(DirectRoute route) {
+        return priorities.indexOf(route.priority());
+    }
+
     /**
      * Returns the ranks of urgency among the workspaces and routes.
      *
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/UrgencyRanks.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/UrgencyRanks.java
@@ -1,9 +1,10 @@
 package dev.foxtailshed.kernel.direct.workspace;
 
+import java.math.BigDecimal;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.OptionalInt;
+import java.util.Optional;
 
 /**
  * Maps the priorities of a workspace and a route to one rank of urgency. Immutable.
@@ -14,12 +15,11 @@
 public final class UrgencyRanks {
 
     private static final Comparator<Urgency> ORDER =
-            Comparator.comparingInt(Urgency::workspacePriority)
-                    .thenComparingInt(Urgency::routePriority);
+            Comparator.comparing(Urgency::workspacePriority).thenComparing(Urgency::routePriority);
 
     private final List<Urgency> ordered;
 
-    private record Urgency(int workspacePriority, int routePriority) {}
+    private record Urgency(BigDecimal workspacePriority, BigDecimal routePriority) {}
 
     /**
      * Creates the ranks of a configuration.
@@ -27,7 +27,7 @@
      * @param workspaces the workspaces
      * @param routePriorities the priorities of the routes
      */
-    public UrgencyRanks(Collection<Workspace> workspaces, Collection<Integer> routePriorities) {
+    public UrgencyRanks(Collection<Workspace> workspaces, Collection<BigDecimal> routePriorities) {
         ordered =
                 routePriorities.stream()
                         .distinct()
@@ -51,7 +51,7 @@
      * @param routePriority the priority of its route
      * @return the rank; 0 is the most urgent
      */
-    public int rank(OptionalInt workspacePriority, int routePriority) {
+    public int rank(Optional<BigDecimal> workspacePriority, BigDecimal routePriority) {
         Urgency urgency = urgency(workspacePriority, routePriority);
         return (int) ordered.stream().filter(other -> ORDER.compare(other, urgency) < 0).count();
     }
@@ -66,7 +66,8 @@
         return rank < ordered.size() - 1;
     }
 
-    private static Urgency urgency(OptionalInt workspacePriority, int routePriority) {
+    private static Urgency urgency(
+            Optional<BigDecimal> workspacePriority, BigDecimal routePriority) {
         return new Urgency(workspacePriority.orElse(routePriority), routePriority);
     }
 }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/Workspace.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/workspace/Workspace.java
@@ -2,8 +2,8 @@
 
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
 import dev.foxtailshed.kernel.direct.quota.TokenQuota;
+import java.math.BigDecimal;
 import java.util.Optional;
-import java.util.OptionalInt;
 
 /**
  * A customer of the deployment, whose callers share a quota and an urgency.
@@ -16,10 +16,10 @@
  */
 public record Workspace(
         String name,
-        OptionalInt priority,
+        Optional<BigDecimal> priority,
         Optional<TokenQuota> quota,
         Unit unit,
-        long plainTokens) {
+        double plainTokens) {
 
     /** What a quota counts. */
     public enum Unit {
@@ -40,6 +40,6 @@
             return 1;
         }
         return counts.map(c -> (double) c.promptTokens() + c.maximumOutputTokens())
-                .orElse((double) plainTokens);
+                .orElse(plainTokens);
     }
 }
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/FirstEventEstimatorTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/FirstEventEstimatorTest.java
@@ -4,6 +4,7 @@
 
 import dev.foxtailshed.kernel.direct.DirectRoute.WeightedService;
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
+import java.math.BigDecimal;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -24,8 +25,8 @@
                     14_000,
                     900,
                     300,
-                    1,
-                    List.of(new WeightedService("llm", 1)),
+                    BigDecimal.ONE,
+                    List.of(new WeightedService("llm", BigDecimal.ONE)),
                     1,
                     true,
                     false);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
@@ -4,9 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import dev.foxtailshed.kernel.direct.DirectRoute.WeightedService;
+import java.math.BigDecimal;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -79,20 +81,105 @@
     @CsvSource({"0.0, x", "0.89, x", "0.91, y", "0.999, y"})
     void servicesArePickedByWeight(double random, String expected) {
         DirectRoute split =
-                new DirectRoute(
-                        "r",
-                        "h",
-                        "/",
-                        Repeatability.REPEATABLE,
-                        1,
-                        1,
-                        0,
-                        0,
-                        List.of(new WeightedService("x", 90), new WeightedService("y", 10)),
+                split(
+                        new WeightedService("x", BigDecimal.valueOf(90)),
+                        new WeightedService("y", BigDecimal.valueOf(10)));
+        assertThat(split.pickService(random)).contains(expected);
+    }
+
+    /** Guards against shares that become none or overflow; x has the first weight, y the second. */
+    @ParameterizedTest
+    @CsvSource({
+        "0.25, 0.75, 0.24, x",
+        "0.25, 0.75, 0.26, y",
+        "99.5, 0.5, 0.994, x",
+        "99.5, 0.5, 0.996, y",
+        "9e18, 9e18, 0.49, x",
+        "9e18, 9e18, 0.51, y",
+        "1e400, 1e400, 0.49, x",
+        "1e400, 1e400, 0.51, y",
+        "1e-400, 3e-400, 0.2, x",
+        "1e-400, 3e-400, 0.3, y",
+        "0, 1, 0.0, y",
+        "1, 0, 0.9999999999999999, x",
+        "0, 5e-324, 0.0, y",
+        "0, 0, 0.5, ",
+        "0.0, 0, 0.0, ",
+    })
+    void shareIsKeptAsItIs(BigDecimal x, BigDecimal y, double random, String expected) {
+        assertThat(
+                        split(new WeightedService("x", x), new WeightedService("y", y))
+                                .pickService(random))
+                .isEqualTo(Optional.ofNullable(expected));
+    }
+
+    @Test
+    void onlyServiceWithoutAWeightGetsNothing() {
+        assertThat(split(new WeightedService("x", BigDecimal.ZERO)).pickService(0)).isEmpty();
+    }
+
+    @Test
+    void negativeWeightIsRejected() {
+        assertThatThrownBy(() -> split(new WeightedService("x", BigDecimal.valueOf(-1))))
+                .hasMessageStartingWith("route r: expected no negative weight");
+    }
+
+    @Test
+    void priorityRanksKeepTheOrderOfAnyNumbers() {
+        List<DirectRoute> routes =
+                Stream.of("2", "0", "1.5", "9007199254740993", "9007199254740992", "1.50")
+                        .map(text -> prioritized(new BigDecimal(text).stripTrailingZeros()))
+                        .toList();
+        RouteTable priorities =
+                new RouteTable(1, routes, Map.of(), new CallerLimits(1, 1, 1, 1), Optional.empty());
+
+        assertThat(routes.stream().map(priorities::priorityRank)).containsExactly(2, 0, 1, 4, 3, 1);
+    }
+
+    @Test
+    void onlyPriorityZeroHasRankZero() {
+        DirectRoute route = prioritized(BigDecimal.ONE);
+        RouteTable one =
+                new RouteTable(
                         1,
-                        false,
-                        false);
-        assertThat(split.pickService(random)).isEqualTo(expected);
+                        List.of(route),
+                        Map.of(),
+                        new CallerLimits(1, 1, 1, 1),
+                        Optional.empty());
+
+        assertThat(one.priorityRank(route)).isEqualTo(1);
+    }
+
+    private static DirectRoute prioritized(BigDecimal priority) {
+        return new DirectRoute(
+                "r",
+                "h",
+                "/",
+                Repeatability.REPEATABLE,
+                1,
+                1,
+                0,
+                priority,
+                List.of(new WeightedService("x", BigDecimal.ONE)),
+                1,
+                false,
+                false);
+    }
+
+    private static DirectRoute split(WeightedService... services) {
+        return new DirectRoute(
+                "r",
+                "h",
+                "/",
+                Repeatability.REPEATABLE,
+                1,
+                1,
+                0,
+                BigDecimal.ZERO,
+                List.of(services),
+                1,
+                false,
+                false);
     }
 
     @Test
@@ -107,7 +194,7 @@
                                         1,
                                         1,
                                         0,
-                                        0,
+                                        BigDecimal.ZERO,
                                         List.of(),
                                         1,
                                         false,
@@ -124,8 +211,8 @@
                 1_000,
                 100,
                 0,
-                0,
-                List.of(new WeightedService("app", 1)),
+                BigDecimal.ZERO,
+                List.of(new WeightedService("app", BigDecimal.valueOf(1))),
                 2,
                 false,
                 false);
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/workspace/WorkspaceTableTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/workspace/WorkspaceTableTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.foxtailshed.kernel.direct.RequestAttributes.TokenCounts;
+import java.math.BigDecimal;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -15,6 +15,9 @@
 /** Tests which workspace a key belongs to and what a request costs its workspace. */
 class WorkspaceTableTest {
 
+    private static final BigDecimal ONE = BigDecimal.ONE;
+    private static final BigDecimal TWO = BigDecimal.valueOf(2);
+
     private final Workspace first = workspace("first", Workspace.Unit.TOKENS);
     private final Workspace second = workspace("second", Workspace.Unit.REQUESTS);
 
@@ -100,15 +103,14 @@
 
     @ParameterizedTest
     @CsvSource({"1, 0, 0", "1, 2, 1", "2, 0, 2", "2, 2, 3", ", 0, 0", ", 2, 3"})
-    void priorityOfTheWorkspaceGoesBeforeThatOfTheRoute(Integer workspace, int route, int rank) {
+    void priorityOfTheWorkspaceGoesBeforeThatOfTheRoute(
+            BigDecimal workspace, BigDecimal route, int rank) {
         UrgencyRanks ranks =
                 new UrgencyRanks(
-                        List.of(workspace("a", 1), workspace("b", 2), workspace("c", 1)),
-                        List.of(0, 2, 2));
-        OptionalInt workspacePriority =
-                workspace == null ? OptionalInt.empty() : OptionalInt.of(workspace);
+                        List.of(workspace("a", ONE), workspace("b", TWO), workspace("c", ONE)),
+                        List.of(BigDecimal.ZERO, TWO, TWO));
 
-        assertThat(ranks.rank(workspacePriority, route)).isEqualTo(rank);
+        assertThat(ranks.rank(Optional.ofNullable(workspace), route)).isEqualTo(rank);
     }
 
     private static ApiKey key(String text) {
@@ -116,11 +118,11 @@
     }
 
     private static Workspace workspace(String name, Workspace.Unit unit) {
-        return new Workspace(name, OptionalInt.empty(), Optional.empty(), unit, 200);
+        return new Workspace(name, Optional.empty(), Optional.empty(), unit, 200);
     }
 
-    private static Workspace workspace(String name, int priority) {
+    private static Workspace workspace(String name, BigDecimal priority) {
         return new Workspace(
-                name, OptionalInt.of(priority), Optional.empty(), Workspace.Unit.TOKENS, 200);
+                name, Optional.of(priority), Optional.empty(), Workspace.Unit.TOKENS, 200);
     }
 }
