Put a configuration in force as far as it can be read

One field that could not be read kept a whole configuration out of force, and each later one that held it: callers were served by the version before, on routes that had been moved or dropped, and refused with 404 on added ones. Cause: a malformed field was an exception of the whole version, while entries stayed ready.

Change: a version needs a number and a list of routes; each route, service and limit is read for itself. Requests of a route or service that cannot be read get 503 route_unusable at once, and no shorter prefix takes them: the version before is no licence, since it may have been replaced for what it allowed. E2103 names each field, and the metric routes.unusableParts counts the parts that are not in force.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -37,6 +37,9 @@
     /** Entries that are asked for the routes in force, as some of them may not run. */
     private static final int PEERS_TO_ASK = 3;
 
+    /** Problems of one configuration that are logged; the number of all is in each event. */
+    private static final int LOGGED_PROBLEMS = 50;
+
     private final HostingPlatform platform;
     private final TimerService timer;
     private final Executor executor;
@@ -51,6 +54,9 @@
     private final CollectionWatcher serverWatcher;
     private volatile boolean serversListed;
 
+    /** Where the newest routes that cannot be read at all are; no position if there are none. */
+    private volatile Optional<StorePosition> unreadableRoutes = Optional.empty();
+
     DeploymentView(
             HostingPlatform platform,
             SharedStore store,
@@ -132,6 +138,7 @@
 
     private void applyRoutes(StoreEntry entry) {
         Either<String, RouteTable> read = platform.parseRoutes(entry);
+        recordReadability(entry.position(), read.isRight());
         if (read.isLeft()) {
             EventLog.log(
                     EventCode.ROUTES_UNREADABLE,
@@ -151,20 +158,50 @@
                 Field.of("version", read.get().version()),
                 Field.of("position", entry.position()),
                 Field.of("routes", read.get().routes().size()));
-        read.get().workspaces().ifPresent(workspaces -> logProblems(entry, workspaces.problems()));
+        logProblems(EventCode.ROUTES_PART_UNUSABLE, entry, read.get().unusable().problems());
+        read.get()
+                .workspaces()
+                .ifPresent(
+                        workspaces ->
+                                logProblems(
+                                        EventCode.WORKSPACES_UNREADABLE,
+                                        entry,
+                                        workspaces.problems()));
         subscribers.forEach(Runnable::run);
     }
 
-    private static void logProblems(StoreEntry entry, List<String> problems) {
-        for (String problem : problems) {
+    /** Records whether routes can be read; older ones, as of another entry, say nothing. */
+    private void recordReadability(StorePosition position, boolean readable) {
+        if (unreadableRoutes.filter(known -> position.compareTo(known) < 0).isEmpty()) {
+            unreadableRoutes = readable ? Optional.empty() : Optional.of(position);
+        }
+    }
+
+    private static void logProblems(EventCode code, StoreEntry entry, List<String> problems) {
+        for (String problem : problems.subList(0, Math.min(problems.size(), LOGGED_PROBLEMS))) {
             EventLog.log(
-                    EventCode.WORKSPACES_UNREADABLE,
+                    code,
                     Field.of("entry", entry.name()),
                     Field.of("position", entry.position()),
+                    Field.of("problems", problems.size()),
                     Field.of("cause", problem));
         }
     }
 
+    /**
+     * Returns how many parts of the newest routing configuration are not in force; a configuration
+     * that cannot be read at all counts as one part.
+     */
+    int unusableParts() {
+        int parts = unreadableRoutes.isPresent() ? 1 : 0;
+        RouteTable table = routes.get();
+        if (table != null) {
+            parts += table.unusable().problems().size();
+            parts += table.workspaces().map(all -> all.problems().size()).orElse(0);
+        }
+        return parts;
+    }
+
     private Optional<Registration> parseServer(StoreEntry entry) {
         Either<String, DirectServer> read = platform.parseServer(entry);
         if (read.isLeft()) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEndpoint.java
@@ -79,8 +79,7 @@
         Optional<DirectRoute> route =
                 routes.get().match(hostOf(request), request.getHttpURI().getPath());
         if (route.isEmpty()) {
-            String where = hostOf(request) + request.getHttpURI().getPath();
-            refuse(pending, ErrorCode.NOT_FOUND, "no route matches " + where);
+            refuseWithoutRoute(pending, routes.get());
             return true;
         }
         Optional<Workspace> workspace =
@@ -208,6 +207,11 @@
             return;
         }
         String name = picked.get();
+        if (matched.routes().isServiceUnusable(name)) {
+            refuseUnusableRoute(
+                    pending, "the configuration of the service " + name + " cannot be used");
+            return;
+        }
         DirectService service =
                 matched.routes()
                         .service(name)
@@ -274,6 +278,16 @@
         return Optional.ofNullable(headers.get(HttpHeader.HOST)).orElse("");
     }
 
+    private void refuseWithoutRoute(PendingResponse pending, RouteTable routes) {
+        String host = hostOf(pending.request());
+        String path = pending.request().getHttpURI().getPath();
+        if (routes.isUnusable(host, path)) {
+            refuseUnusableRoute(pending, "the configuration of the request's route cannot be used");
+        } else {
+            refuse(pending, ErrorCode.NOT_FOUND, "no route matches " + host + path);
+        }
+    }
+
     private void refuseWithoutWorkspace(
             PendingResponse pending, RouteTable routes, RequestAttributes attributes) {
         HttpFields headers = pending.request().getHeaders();
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -352,6 +352,8 @@
         registry.register("streams.waiting", waiting);
         Gauge<Long> version = () -> view.routes().map(RouteTable::version).orElse(0L);
         registry.register("routes.version", version);
+        Gauge<Integer> unusableParts = view::unusableParts;
+        registry.register("routes.unusableParts", unusableParts);
         Gauge<Integer> usable = () -> view.servers().all().size();
         registry.register("servers.usable", usable);
         Gauge<Long> bodyBytes = requestBuffers::usedBytes;
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/events/EventCode.java
@@ -47,6 +47,10 @@
     ROUTES_APPLIED(2101, Level.INFO, "A newer routing configuration is in force at this entry."),
     ROUTES_UNREADABLE(
             2102, Level.ERROR, "A routing configuration cannot be read; the previous one stays."),
+    ROUTES_PART_UNUSABLE(
+            2103,
+            Level.WARN,
+            "A part of the routing configuration cannot be used; the others are in force."),
     SERVER_USABLE(
             2201, Level.INFO, "A backend server that can receive requests was added or changed."),
     SERVER_LEFT(2202, Level.INFO, "A backend server receives no more new requests."),
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
@@ -24,7 +24,10 @@
     private final Optional<WorkspaceTable> workspaces;
     private final Optional<UrgencyRanks> urgencyRanks;
     private final List<BigDecimal> priorities;
-    private final Map<String, Map<String, DirectRoute>> byHostAndPrefix = new HashMap<>();
+    private final UnusableParts unusable;
+
+    /** The routes by host and path prefix; empty for those that cannot be used. */
+    private final Map<String, Map<String, Optional<DirectRoute>>> byHostAndPrefix = new HashMap<>();
 
     /**
      * Creates a table.
@@ -34,18 +37,21 @@
      * @param services the services by name
      * @param limits the limits on callers
      * @param workspaces the workspaces; empty if callers need no keys
+     * @param unusable what of the configuration cannot be used
      */
     public RouteTable(
             long version,
             List<DirectRoute> routes,
             Map<String, DirectService> services,
             CallerLimits limits,
-            Optional<WorkspaceTable> workspaces) {
+            Optional<WorkspaceTable> workspaces,
+            UnusableParts unusable) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.services = Map.copyOf(services);
         this.limits = limits;
         this.workspaces = workspaces;
+        this.unusable = unusable;
         this.urgencyRanks =
                 workspaces.map(
                         table ->
@@ -59,11 +65,14 @@
                         .distinct()
                         .sorted()
                         .toList();
-        for (DirectRoute route : routes) {
-            byHostAndPrefix
-                    .computeIfAbsent(route.host(), host -> new HashMap<>())
-                    .put(UrlPath.normalize(route.pathPrefix()), route);
-        }
+        routes.forEach(route -> put(route.host(), route.pathPrefix(), Optional.of(route)));
+        unusable.routes().forEach(place -> put(place.host(), place.pathPrefix(), Optional.empty()));
+    }
+
+    private void put(String host, String pathPrefix, Optional<DirectRoute> route) {
+        byHostAndPrefix
+                .computeIfAbsent(host, key -> new HashMap<>())
+                .put(UrlPath.normalize(pathPrefix), route);
     }
 
     /**
@@ -71,16 +80,31 @@
      *
      * @param host the request's host, with or without a port
      * @param path the request's path as sent, without the query
-     * @return the route, or empty if none matches
+     * @return the route, or empty if none matches or the one that matches cannot be used
      */
     public Optional<DirectRoute> match(String host, String path) {
-        Map<String, DirectRoute> byPrefix = byHostAndPrefix.get(normalize(host));
+        return find(host, path).flatMap(route -> route);
+    }
+
+    /**
+     * Returns whether a request without a usable route may be for one that cannot be used.
+     *
+     * @param host the request's host, with or without a port
+     * @param path the request's path as sent, without the query
+     * @return false if no route matches and all routes could be read
+     */
+    public boolean isUnusable(String host, String path) {
+        return find(host, path).map(Optional::isEmpty).orElse(unusable.hasRouteWithoutPlace());
+    }
+
+    private Optional<Optional<DirectRoute>> find(String host, String path) {
+        Map<String, Optional<DirectRoute>> byPrefix = byHostAndPrefix.get(normalize(host));
         if (byPrefix == null) {
             return Optional.empty();
         }
         String normal = UrlPath.normalize(path);
         for (int end = normal.lastIndexOf('/'); end >= 0; end = normal.lastIndexOf('/', end - 1)) {
-            DirectRoute route = byPrefix.get(normal.substring(0, end + 1));
+            Optional<DirectRoute> route = byPrefix.get(normal.substring(0, end + 1));
             if (route != null) {
                 return Optional.of(route);
             }
@@ -116,6 +140,26 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns whether a service has no usable description, though the configuration has, or may
+     * have, one.
+     *
+     * @param name the service's name
+     * @return false for services that can be used and for those that it does not describe
+     */
+    public boolean isServiceUnusable(String name) {
+        return !services.containsKey(name) && unusable.hasService(name);
+    }
+
+    /**
+     * Returns what of the configuration cannot be used.
+     *
+     * @return the parts, without those of the workspaces
+     */
+    public UnusableParts unusable() {
+        return unusable;
+    }
+
     /**
      * Returns the services.
      *
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
@@ -26,7 +26,8 @@
                             route("other", "two.example", "/a/")),
                     Map.of(),
                     new CallerLimits(1, 1, 1, 1),
-                    Optional.empty());
+                    Optional.empty(),
+                    UnusableParts.NONE);
 
     @ParameterizedTest
     @CsvSource({
@@ -72,7 +73,8 @@
                                 route("percent", "one.example", "/50%/")),
                         Map.of(),
                         new CallerLimits(1, 1, 1, 1),
-                        Optional.empty());
+                        Optional.empty(),
+                        UnusableParts.NONE);
 
         assertThat(letters.match("one.example", path).map(DirectRoute::name)).contains(expected);
     }
@@ -131,7 +133,13 @@
                         .map(text -> prioritized(new BigDecimal(text).stripTrailingZeros()))
                         .toList();
         RouteTable priorities =
-                new RouteTable(1, routes, Map.of(), new CallerLimits(1, 1, 1, 1), Optional.empty());
+                new RouteTable(
+                        1,
+                        routes,
+                        Map.of(),
+                        new CallerLimits(1, 1, 1, 1),
+                        Optional.empty(),
+                        UnusableParts.NONE);
 
         assertThat(routes.stream().map(priorities::priorityRank)).containsExactly(2, 0, 1, 4, 3, 1);
     }
@@ -145,7 +153,8 @@
                         List.of(route),
                         Map.of(),
                         new CallerLimits(1, 1, 1, 1),
-                        Optional.empty());
+                        Optional.empty(),
+                        UnusableParts.NONE);
 
         assertThat(one.priorityRank(route)).isEqualTo(1);
     }
