Keep all digits of versions and other numbers of the store

A configuration with the version was never applied: callers of a moved, a dropped and an added route were served by the version before, at entries that said that they were ready. Cause: JsonFields.getLong went through a double and refused integers above 2^53.

Change: versions are decimals of any size, compared digit for digit. getLong reads all integers of 64 bits exactly, however they are written, which holds for revisions and start times too. A position whose era and revision do not fit into one fencing token has none, and the command is not sent; the token of another position, or a negative one, was used before.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/JsonFields.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/JsonFields.java
@@ -76,20 +76,25 @@
     }
 
     /**
-     * Returns an integer.
+     * Returns an integer, however it is written; 2.0 and 2e0 are 2.
      *
      * @param name the field's name
      * @param minimum the smallest allowed value
-     * @return the value, at most 2<sup>53</sup>, up to which doubles represent integers exactly
-     * @throws IllegalArgumentException if the field is not an integer or is out of range
+     * @return the value
+     * @throws IllegalArgumentException if the field is not an integer, is out of range, or does not
+     *     fit into 64 bits
      */
     public long getLong(String name, long minimum) {
         String description = "an integer of at least " + minimum;
-        double value = getNumber(name, description);
-        if (value != Math.rint(value) || value < minimum || Math.abs(value) > 1L << 53) {
+        BigDecimal value = getNumber(name, description);
+        boolean valid =
+                value.scale() <= 0
+                        && value.compareTo(BigDecimal.valueOf(minimum)) >= 0
+                        && value.compareTo(BigDecimal.valueOf(Long.MAX_VALUE)) <= 0;
+        if (!valid) {
             throw invalidField(name, description);
         }
-        return (long) value;
+        return value.longValueExact();
     }
 
     /**
@@ -112,20 +117,16 @@
      * Returns a number with all its digits.
      *
      * @param name the field's name
-     * @return the value, not negative, without trailing zeros
+     * @return the value, not negative; equal numbers are equal objects, however they are written
      * @throws IllegalArgumentException if the field is not a number, or is negative
      */
     public BigDecimal getDecimal(String name) {
         String description = "a number of at least 0";
-        JsonPrimitive primitive = getPrimitive(name, description);
-        if (!primitive.isNumber()) {
-            throw invalidField(name, description);
-        }
-        BigDecimal value = toDecimal(name, primitive, description);
+        BigDecimal value = getNumber(name, description);
         if (value.signum() < 0) {
             throw invalidField(name, description);
         }
-        return value.stripTrailingZeros();
+        return value;
     }
 
     /**
@@ -166,7 +167,6 @@
     }
 
     private long toLong(String name, BigDecimal value, RoundingMode rounding, long minimum) {
-        // Compared first, since writing out a number with a large exponent takes much memory.
         boolean isLargest = value.compareTo(BigDecimal.valueOf(LARGEST_LIMIT)) >= 0;
         long result = isLargest ? LARGEST_LIMIT : value.setScale(0, rounding).longValue();
         if (result < minimum) {
@@ -175,15 +175,6 @@
         return result;
     }
 
-    private BigDecimal toDecimal(String name, JsonPrimitive value, String description) {
-        try {
-            return value.getAsBigDecimal();
-        } catch (NumberFormatException e) {
-            // Gson refuses numbers whose digits would take much memory.
-            throw invalidField(name, description);
-        }
-    }
-
     /**
      * Returns a finite number.
      *
@@ -194,7 +185,7 @@
      */
     public double getDouble(String name, double minimum) {
         String description = "a number of at least " + new BigDecimal(minimum).toPlainString();
-        double value = getNumber(name, description);
+        double value = getNumber(name, description).doubleValue();
         if (value < minimum || Double.isInfinite(value) || Double.isNaN(value)) {
             throw invalidField(name, description);
         }
@@ -325,12 +316,19 @@
         return element.getAsJsonArray();
     }
 
-    private double getNumber(String name, String description) {
+    /** Returns a number without trailing zeros of a fraction, and without a positive exponent. */
+    private BigDecimal getNumber(String name, String description) {
         JsonPrimitive value = getPrimitive(name, description);
         if (!value.isNumber()) {
             throw invalidField(name, description);
         }
-        return value.getAsDouble();
+        try {
+            BigDecimal number = value.getAsBigDecimal().stripTrailingZeros();
+            return number.scale() < 0 ? number.setScale(0) : number;
+        } catch (NumberFormatException e) {
+            // Gson refuses numbers whose digits would take much memory.
+            throw invalidField(name, description);
+        }
     }
 
     private JsonPrimitive getPrimitive(String name, String description) {
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/CallerRequest.java
@@ -5,6 +5,7 @@
 import dev.foxtailshed.kernel.direct.DirectService;
 import dev.foxtailshed.kernel.direct.RequestAttributes;
 import dev.foxtailshed.kernel.direct.workspace.Workspace;
+import java.math.BigDecimal;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -40,7 +41,7 @@
         Optional<Workspace> workspace,
         Optional<CallerIdentity> identity,
         int priority,
-        long routesVersion,
+        BigDecimal routesVersion,
         long arrivedMillis,
         long deadlineMillis) {
 
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -148,7 +148,7 @@
             return;
         }
         RouteTable before = routes.get();
-        if (before != null && before.version() >= read.get().version()) {
+        if (before != null && before.version().compareTo(read.get().version()) >= 0) {
             return;
         }
         routes.set(read.get());
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectEntry.java
@@ -25,6 +25,7 @@
 import dev.foxtailshed.kernel.direct.ServerRateLimits;
 import dev.foxtailshed.kernel.direct.WindowedRetryBudget;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Clock;
@@ -350,7 +351,8 @@
         registry.register("requests.inFlight", running);
         Gauge<Integer> waiting = flows::waitingRequests;
         registry.register("streams.waiting", waiting);
-        Gauge<Long> version = () -> view.routes().map(RouteTable::version).orElse(0L);
+        Gauge<BigDecimal> version =
+                () -> view.routes().map(RouteTable::version).orElse(BigDecimal.ZERO);
         registry.register("routes.version", version);
         Gauge<Integer> unusableParts = view::unusableParts;
         registry.register("routes.unusableParts", unusableParts);
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DirectRequestRecorder.java
@@ -14,6 +14,7 @@
 import dev.foxtailshed.kernel.direct.RouteTable;
 import dev.foxtailshed.kernel.direct.ServerRateLimits;
 import dev.foxtailshed.kernel.direct.workspace.ApiKey;
+import java.math.BigDecimal;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -219,7 +220,9 @@
         EventLog.log(
                 EventCode.REQUEST_REFUSED,
                 Field.of("request", id.orElse("none")),
-                Field.of("routesVersion", routes.map(RouteTable::version).orElse(-1L)),
+                Field.of(
+                        "routesVersion",
+                        routes.map(RouteTable::version).map(BigDecimal::toString).orElse("none")),
                 Field.of("code", failure.code().label()),
                 Field.of("verdict", failure.verdict().label()),
                 Field.of("message", failure.message()),
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/StageChangeLease.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
+import dev.foxtailshed.daemon.hosting.JsonFields;
 import dev.foxtailshed.daemon.hosting.SharedStore;
 import dev.foxtailshed.daemon.hosting.SharedStore.Lookup;
 import dev.foxtailshed.daemon.hosting.StoreCollection;
@@ -121,8 +122,13 @@
             reportRefusal("the store was restored meanwhile", next);
             return;
         }
-        EventLog.log(EventCode.LEASE_TAKEN, Field.of("fencingToken", position.toFencingToken()));
-        next.accept(OptionalLong.of(position.toFencingToken()));
+        OptionalLong token = position.toFencingToken();
+        if (token.isEmpty()) {
+            reportRefusal("no fencing token for the position " + position, next);
+            return;
+        }
+        EventLog.log(EventCode.LEASE_TAKEN, Field.of("fencingToken", token.getAsLong()));
+        next.accept(token);
     }
 
     private static void reportRefusal(String cause, Consumer<OptionalLong> next) {
@@ -143,10 +149,12 @@
     }
 
     private static long grantsOf(StoreEntry entry) {
-        return primitiveOf(entry, GRANTS)
-                .filter(JsonPrimitive::isNumber)
-                .map(JsonPrimitive::getAsLong)
-                .orElse(0L);
+        try {
+            return JsonFields.of("", entry.body()).getLong(GRANTS, 0);
+        } catch (IllegalArgumentException e) {
+            // Another writer's; the grants only have to differ from each other.
+            return 0;
+        }
     }
 
     /** Returns a field, or empty if another writer has left it out or given it another type. */
--- a/daemon/src/test/java/dev/foxtailshed/daemon/hosting/JsonFieldsTest.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/hosting/JsonFieldsTest.java
@@ -3,7 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.google.gson.JsonElement;
 import java.math.BigDecimal;
+import java.math.BigInteger;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -11,6 +15,8 @@
 /** Tests which numbers of other programs are read, and as which values. */
 class JsonFieldsTest {
 
+    private static final long SEED = 61;
+
     /** Guards against numbers that are refused, or become others, for the way they are written. */
     @ParameterizedTest
     @CsvSource({
@@ -64,6 +70,62 @@
                 .hasMessage("f: expected a number of at least 1, found " + text);
     }
 
+    /** Guards against neighbours that become one number, and integers refused for their form. */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 0",
+        "-0, 0",
+        "-5, -5",
+        "2.0, 2",
+        "5e0, 5",
+        "50e-1, 5",
+        "1e3, 1000",
+        "9007199254740992, 9007199254740992",
+        "9007199254740993, 9007199254740993",
+        "1796688000000000000, 1796688000000000000",
+        "1796688000000000001, 1796688000000000001",
+        "9223372036854775807, 9223372036854775807",
+    })
+    void integersKeepTheirDigits(String text, long expected) {
+        assertThat(fields(text).getLong("f", Long.MIN_VALUE)).isEqualTo(expected);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "-1",
+                "0.5",
+                "9223372036854775808",
+                "1e19",
+                "1e400",
+                "1e999999999",
+                "1e-999999999",
+                "null",
+                "\"5\"",
+                "[5]"
+            })
+    void whatIsNoIntegerIsRefusedByName(String text) {
+        assertThatThrownBy(() -> fields(text).getLong("f", 0))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageStartingWith("f: expected an integer of at least 0, found ");
+    }
+
+    /** Guards against numbers that change when an entry hands what it has read to another one. */
+    @Test
+    void numberThatIsReadAndWrittenAgainIsTheSame() {
+        Random random = new Random(SEED);
+        for (int i = 0; i < 1_000; i++) {
+            String digits = new BigInteger(1 + random.nextInt(120), random).toString();
+            String text = random.nextBoolean() ? digits : digits + "." + random.nextInt(1_000);
+            JsonElement read = BoundedJson.parse("{\"f\":" + text + "}");
+            JsonElement again = BoundedJson.parse(JsonBytes.write(read));
+            assertThat(JsonFields.of("", again).getDecimal("f"))
+                    .isEqualTo(JsonFields.of("", read).getDecimal("f"))
+                    .isEqualByComparingTo(new BigDecimal(text));
+            assertThat(again).hasToString(read.toString());
+        }
+    }
+
     private static JsonFields fields(String value) {
         return JsonFields.of("", BoundedJson.parse("{\"f\":" + value + "}"));
     }
--- a/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
+++ b/daemon/src/test/java/dev/foxtailshed/daemon/internal/direct/CallerRequests.java
@@ -69,7 +69,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 0,
-                1,
+                BigDecimal.ONE,
                 0,
                 1_000);
     }
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/RouteTable.java
@@ -17,7 +17,7 @@
  */
 public final class RouteTable {
 
-    private final long version;
+    private final BigDecimal version;
     private final List<DirectRoute> routes;
     private final Map<String, DirectService> services;
     private final CallerLimits limits;
@@ -40,7 +40,7 @@
      * @param unusable what of the configuration cannot be used
      */
     public RouteTable(
-            long version,
+            BigDecimal version,
             List<DirectRoute> routes,
             Map<String, DirectService> services,
             CallerLimits limits,
@@ -117,7 +117,7 @@
      *
      * @return a number that increases with each change of the configuration
      */
-    public long version() {
+    public BigDecimal version() {
         return version;
     }
 
--- a/kernel/src/main/java/dev/foxtailshed/kernel/direct/StorePosition.java
+++ b/kernel/src/main/java/dev/foxtailshed/kernel/direct/StorePosition.java
@@ -1,6 +1,7 @@
 package dev.foxtailshed.kernel.direct;
 
 import java.util.Comparator;
+import java.util.OptionalLong;
 
 /**
  * A position in the history of the platform's store.
@@ -19,6 +20,8 @@
     /** Low bits of a fencing token, enough for the revisions of an era. */
     private static final int REVISION_BITS = 40;
 
+    private static final int ERA_BITS = Long.SIZE - 1 - REVISION_BITS;
+
     private static final Comparator<StorePosition> ORDER =
             Comparator.comparingLong(StorePosition::era).thenComparingLong(StorePosition::revision);
 
@@ -36,10 +39,15 @@
     /**
      * Returns a number for commands that must not be carried out after a newer one.
      *
-     * @return a number that is higher the later the position, across eras
+     * @return a number that is higher the later the position, across eras; empty for a position in
+     *     a restored store whose era and revision do not fit into one number
      */
-    public long toFencingToken() {
-        return (era << REVISION_BITS) + revision;
+    public OptionalLong toFencingToken() {
+        if (era == 0) {
+            return OptionalLong.of(revision);
+        }
+        boolean fits = era < 1L << ERA_BITS && revision < 1L << REVISION_BITS;
+        return fits ? OptionalLong.of((era << REVISION_BITS) + revision) : OptionalLong.empty();
     }
 
     @Override
--- a/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
+++ b/kernel/src/test/java/dev/foxtailshed/kernel/direct/RouteTableTest.java
@@ -18,7 +18,7 @@
 
     private final RouteTable table =
             new RouteTable(
-                    3,
+                    BigDecimal.valueOf(3),
                     List.of(
                             route("root", "one.example", "/"),
                             route("short", "one.example", "/a/"),
@@ -65,7 +65,7 @@
     void prefixWithOtherLettersMatchesItsEscapedForm(String path, String expected) {
         RouteTable letters =
                 new RouteTable(
-                        3,
+                        BigDecimal.valueOf(3),
                         List.of(
                                 route("root", "one.example", "/"),
                                 route("own", "one.example", "/gr\u00f6\u00dfe/"),
@@ -134,7 +134,7 @@
                         .toList();
         RouteTable priorities =
                 new RouteTable(
-                        1,
+                        BigDecimal.valueOf(1),
                         routes,
                         Map.of(),
                         new CallerLimits(1, 1, 1, 1),
@@ -149,7 +149,7 @@
         DirectRoute route = prioritized(BigDecimal.ONE);
         RouteTable one =
                 new RouteTable(
-                        1,
+                        BigDecimal.valueOf(1),
                         List.of(route),
                         Map.of(),
                         new CallerLimits(1, 1, 1, 1),
