Apply no entry beside the configuration

An object beside the configuration, such as a draft, was put in force at all entries if its version was the higher one. Cause: each entry of the collection was parsed as the configuration, though the platform names the one that is in force. Evidence: entryBesideTheConfigurationIsNotApplied.

Result: the test failed before (the main configuration was not applied, as the draft had a higher version) and passes.

--- a/daemon/src/main/java/dev/foxtailshed/daemon/hosting/HostingPlatform.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/hosting/HostingPlatform.java
@@ -44,6 +44,13 @@
     SharedStore openStore(
             HttpClient httpClient, Supplier<InetSocketAddress> address, long timeoutMillis);
 
+    /**
+     * Returns the name of the entry that holds the routing configuration.
+     *
+     * @return the name; other entries of the same collection are not in force
+     */
+    String routesEntryName();
+
     /**
      * Parses the routing configuration.
      *
--- a/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
+++ b/daemon/src/main/java/dev/foxtailshed/daemon/internal/direct/DeploymentView.java
@@ -137,6 +137,9 @@
     }
 
     private void applyRoutes(StoreEntry entry) {
+        if (!entry.name().equals(platform.routesEntryName())) {
+            return;
+        }
         Either<String, RouteTable> read = platform.parseRoutes(entry);
         recordReadability(entry.position(), read.isRight());
         if (read.isLeft()) {
